--- /dev/null
+++ b/event.go
@@ -0,0 +1,67 @@
+package wasabistand
+
+import (
+	"cmp"
+	"time"
+)
+
+// HybridTime is a timestamp of a hybrid logical clock.
+type HybridTime struct {
+	WallUnixNano int64
+	Logical      uint32
+}
+
+// Compare orders timestamps.
+func (t HybridTime) Compare(u HybridTime) int {
+	if c := cmp.Compare(t.WallUnixNano, u.WallUnixNano); c != 0 {
+		return c
+	}
+	return cmp.Compare(t.Logical, u.Logical)
+}
+
+// Time returns the physical part.
+func (t HybridTime) Time() time.Time { return time.Unix(0, t.WallUnixNano) }
+
+// EventKind names a kind of event. The text is stable.
+type EventKind string
+
+// The kinds of events.
+const (
+	EventCallAdmitted    EventKind = "call.admitted"
+	EventCallRefused     EventKind = "call.refused"
+	EventCallRetried     EventKind = "call.retried"
+	EventCallAnswered    EventKind = "call.answered"
+	EventCallUnknown     EventKind = "call.unknown"
+	EventCallCancelled   EventKind = "call.cancelled"
+	EventClaimTaken      EventKind = "claim.taken"
+	EventClaimSettled    EventKind = "claim.settled"
+	EventLevelChanged    EventKind = "level.changed"
+	EventLimitChanged    EventKind = "limit.changed"
+	EventInstanceEjected EventKind = "instance.ejected"
+	EventInstanceState   EventKind = "instance.state"
+	EventConfigAccepted  EventKind = "config.accepted"
+	EventConfigInForce   EventKind = "config.in_force"
+	EventLinkUp          EventKind = "link.up"
+	EventLinkSilent      EventKind = "link.silent"
+	EventSessionUp       EventKind = "session.up"
+	EventSessionDown     EventKind = "session.down"
+	EventGroupLeader     EventKind = "group.leader"
+	EventGroupMembers    EventKind = "group.members"
+	EventLeaseExpired    EventKind = "lease.expired"
+	EventShutdown        EventKind = "shutdown"
+)
+
+// Event is one entry of the time line.
+type Event struct {
+	// Time is set by the recorder when zero.
+	Time HybridTime
+	// Instance is the process; set by the recorder when empty.
+	Instance  string
+	Kind      EventKind
+	RequestID string
+	Service   string
+	Call      string
+	Caller    string
+	Reason    Reason
+	Fields    []HeaderField
+}
--- /dev/null
+++ b/wasabilink/link.go
@@ -0,0 +1,329 @@
+package wasabilink
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/proto"
+
+	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
+	"github.com/wasabistand/wasabistand/wasabiwire"
+)
+
+// helloTimeout bounds the first exchange on a connection, so that a peer
+// that connects and says nothing holds no resources.
+const helloTimeout = 5 * time.Second
+
+// Handler serves one stream that the peer opened. The context ends with the
+// link. The stream is closed when the handler returns.
+type Handler func(ctx context.Context, kind wasabistandv1.StreamOpen_Kind, s *Stream)
+
+// Peer is who is at the other end of a link.
+type Peer struct {
+	Instance    string
+	Incarnation uint64
+}
+
+// Link is one connection with its streams. It is safe for concurrent use.
+type Link struct {
+	options Options
+	address string
+	session *yamux.Session
+	control *Stream
+	peer    Peer
+	handler Handler
+
+	streams  atomic.Int64
+	lastUse  atomic.Int64
+	lastPong atomic.Int64
+	pinged   atomic.Int64 // time of the oldest unanswered ping, 0 for none
+	goneAway atomic.Bool
+	probe    chan struct{}
+
+	ctx       context.Context
+	cancel    context.CancelCauseFunc
+	wait      sync.WaitGroup
+	closeOnce sync.Once
+}
+
+func yamuxConfig(o Options) *yamux.Config {
+	c := yamux.DefaultConfig()
+	c.EnableKeepAlive = false
+	c.AcceptBacklog = 1024
+	c.ConnectionWriteTimeout = 5 * time.Second
+	c.StreamCloseTimeout = 10 * time.Second
+	c.LogOutput = io.Discard
+	return c
+}
+
+// Dial opens a link. A nil handler refuses streams from the peer.
+func Dial(ctx context.Context, address string, o Options, h Handler) (*Link, error) {
+	conn, err := o.dial(ctx, address)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return newLink(ctx, conn, address, o, h, true)
+}
+
+func newLink(ctx context.Context, conn net.Conn, address string, o Options, h Handler, client bool) (*Link, error) {
+	deadline := time.Now().Add(helloTimeout)
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	open := yamux.Server
+	if client {
+		open = yamux.Client
+	}
+	session, err := open(conn, yamuxConfig(o))
+	if err != nil {
+		_ = conn.Close()
+		return nil, Error.Wrap(err)
+	}
+	l := &Link{options: o, address: address, session: session, handler: h, probe: make(chan struct{}, 1)}
+	l.ctx, l.cancel = context.WithCancelCause(context.Background())
+	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
+	err = l.hello(client, deadline)
+	if !stop() && err == nil {
+		err = ctx.Err()
+	}
+	if err != nil {
+		l.cancel(Error.Wrap(err))
+		_ = session.Close()
+		return nil, Error.Wrap(err)
+	}
+	now := time.Now().UnixNano()
+	l.lastPong.Store(now)
+	l.lastUse.Store(now)
+	l.wait.Add(3)
+	go l.readControl()
+	go l.beat()
+	go l.acceptStreams()
+	return l, nil
+}
+
+func (l *Link) hello(client bool, deadline time.Time) error {
+	timer := time.AfterFunc(time.Until(deadline), func() { _ = l.session.Close() })
+	defer timer.Stop()
+	var raw *yamux.Stream
+	var err error
+	if client {
+		raw, err = l.session.OpenStream()
+	} else {
+		raw, err = l.session.AcceptStream()
+	}
+	if err != nil {
+		return err
+	}
+	l.control = newStream(l, raw)
+	l.streams.Add(-1) // The control stream does not count as use.
+	mine := &wasabistandv1.LinkHello{Cluster: l.options.cluster, Version: Version, Instance: l.options.instance, Incarnation: l.options.incarnation}
+	if err := l.control.Send(&wasabistandv1.LinkControl{Kind: &wasabistandv1.LinkControl_Hello{Hello: mine}}); err != nil {
+		return err
+	}
+	var frame wasabistandv1.LinkControl
+	if err := l.control.Receive(&frame); err != nil {
+		return err
+	}
+	theirs := frame.GetHello()
+	switch {
+	case theirs == nil:
+		return Error.New("first frame is not a hello")
+	case theirs.Cluster != l.options.cluster:
+		return Error.New("peer %q is of cluster %q, allowed is %q", theirs.Instance, theirs.Cluster, l.options.cluster)
+	case theirs.Version != Version:
+		return Error.New("peer %q has protocol version %d, allowed is %d", theirs.Instance, theirs.Version, Version)
+	}
+	l.peer = Peer{Instance: theirs.Instance, Incarnation: theirs.Incarnation}
+	return nil
+}
+
+// Peer returns who is at the other end.
+func (l *Link) Peer() Peer { return l.peer }
+
+// Address returns the dialed or remote address.
+func (l *Link) Address() string { return l.address }
+
+// Done returns a channel that is closed when the link has ended.
+func (l *Link) Done() <-chan struct{} { return l.ctx.Done() }
+
+// Err returns why the link ended, nil while it lives.
+func (l *Link) Err() error {
+	if l.ctx.Err() == nil {
+		return nil
+	}
+	return context.Cause(l.ctx)
+}
+
+// Suspect reports whether a ping has gone unanswered for too long.
+func (l *Link) Suspect() bool {
+	p := l.pinged.Load()
+	return p != 0 && time.Since(time.Unix(0, p)) >= l.options.suspect
+}
+
+// Usable reports whether new streams should be opened on the link.
+func (l *Link) Usable() bool {
+	return l.ctx.Err() == nil && !l.goneAway.Load() && !l.Suspect()
+}
+
+// Streams returns how many streams are open.
+func (l *Link) Streams() int { return int(l.streams.Load()) }
+
+// Open opens a stream of a kind. The stream's first frame is not yet sent to
+// the peer's handler when Open returns; an error means that nothing was sent.
+func (l *Link) Open(kind wasabistandv1.StreamOpen_Kind) (*Stream, error) {
+	if err := l.Err(); err != nil {
+		return nil, err
+	}
+	raw, err := l.session.OpenStream()
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	s := newStream(l, raw)
+	if err := s.Send(&wasabistandv1.StreamOpen{Kind: kind}); err != nil {
+		_ = s.Close()
+		return nil, err
+	}
+	s.wrote.Store(false)
+	return s, nil
+}
+
+// GoAway asks the peer to open no more streams.
+func (l *Link) GoAway(reason string) {
+	_ = l.control.Send(&wasabistandv1.LinkControl{Kind: &wasabistandv1.LinkControl_GoAway{GoAway: &wasabistandv1.LinkGoAway{Reason: reason}}})
+}
+
+// Close ends the link and waits for its handlers.
+func (l *Link) Close() error {
+	l.end(Error.New("link closed"))
+	l.wait.Wait()
+	return nil
+}
+
+// String returns the peer and its address.
+func (l *Link) String() string { return l.peer.Instance + "@" + l.address }
+
+func (l *Link) end(cause error) {
+	l.closeOnce.Do(func() {
+		l.cancel(cause)
+		_ = l.session.Close()
+	})
+}
+
+// touch asks for a ping soon when the link was idle, so that a link that went
+// silent while idle is found within the silent time of its next use.
+func (l *Link) touch() {
+	if time.Since(time.Unix(0, l.lastPong.Load())) >= l.options.heartbeat {
+		select {
+		case l.probe <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (l *Link) acceptStreams() {
+	defer l.wait.Done()
+	for {
+		raw, err := l.session.AcceptStream()
+		if err != nil {
+			l.end(Error.Wrap(err))
+			return
+		}
+		s := newStream(l, raw)
+		if l.handler == nil {
+			_ = s.Close()
+			continue
+		}
+		l.wait.Go(func() {
+			defer s.Close()
+			var open wasabistandv1.StreamOpen
+			if err := s.Receive(&open); err != nil {
+				return
+			}
+			l.handler(l.ctx, open.Kind, s)
+		})
+	}
+}
+
+func (l *Link) readControl() {
+	defer l.wait.Done()
+	for {
+		var frame wasabistandv1.LinkControl
+		if err := l.control.Receive(&frame); err != nil {
+			l.end(Error.Wrap(err))
+			return
+		}
+		switch k := frame.Kind.(type) {
+		case *wasabistandv1.LinkControl_Ping:
+			l.observe(k.Ping.Time)
+			pong := &wasabistandv1.LinkPong{Sequence: k.Ping.Sequence, Time: l.now()}
+			if err := l.control.Send(&wasabistandv1.LinkControl{Kind: &wasabistandv1.LinkControl_Pong{Pong: pong}}); err != nil {
+				l.end(Error.Wrap(err))
+				return
+			}
+		case *wasabistandv1.LinkControl_Pong:
+			l.observe(k.Pong.Time)
+			l.lastPong.Store(time.Now().UnixNano())
+			l.pinged.Store(0)
+		case *wasabistandv1.LinkControl_GoAway:
+			l.goneAway.Store(true)
+		}
+	}
+}
+
+func (l *Link) beat() {
+	defer l.wait.Done()
+	t := time.NewTicker(l.options.heartbeat)
+	defer t.Stop()
+	var sequence uint64
+	for {
+		select {
+		case <-l.ctx.Done():
+			return
+		case <-t.C:
+		case <-l.probe:
+		}
+		now := time.Now()
+		if p := l.pinged.Load(); p != 0 {
+			if now.Sub(time.Unix(0, p)) >= l.options.silent {
+				if l.options.onSilent != nil {
+					l.options.onSilent(l.address)
+				}
+				l.end(ErrSilent.New("%s did not answer for %v", l, l.options.silent))
+				return
+			}
+			continue
+		}
+		since := now.Sub(time.Unix(0, l.lastPong.Load()))
+		if l.streams.Load() == 0 && since < l.options.idleHeartbeat {
+			continue
+		}
+		sequence++
+		l.pinged.Store(now.UnixNano())
+		// A silent peer may also stop reading; the send must not hold up the
+		// detection.
+		_ = l.control.raw.SetWriteDeadline(now.Add(l.options.silent))
+		var ping proto.Message = &wasabistandv1.LinkControl{Kind: &wasabistandv1.LinkControl_Ping{Ping: &wasabistandv1.LinkPing{Sequence: sequence, Time: l.now()}}}
+		if err := l.control.Send(ping); err != nil {
+			l.end(Error.Wrap(err))
+			return
+		}
+	}
+}
+
+func (l *Link) now() *wasabistandv1.HybridTime {
+	if l.options.clock == nil {
+		return nil
+	}
+	return wasabiwire.FromHybridTime(l.options.clock.Now())
+}
+
+func (l *Link) observe(t *wasabistandv1.HybridTime) {
+	if l.options.clock != nil && t != nil {
+		l.options.clock.Observe(wasabiwire.ToHybridTime(t))
+	}
+}
--- /dev/null
+++ b/wasabilink/stream.go
@@ -0,0 +1,100 @@
+package wasabilink
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+)
+
+var bufferPool = sync.Pool{New: func() any { b := make([]byte, 0, 4096); return &b }}
+
+// maxPooledBytes keeps one large frame from pinning memory in the pool.
+const maxPooledBytes = 64 << 10
+
+// Stream carries frames both ways. One goroutine may receive while others
+// send. Closing it abandons both directions: the peer's Receive returns
+// io.EOF.
+type Stream struct {
+	link     *Link
+	raw      *yamux.Stream
+	reader   *bufio.Reader
+	sendMu   sync.Mutex
+	wrote    atomic.Bool
+	closeOne sync.Once
+}
+
+func newStream(l *Link, raw *yamux.Stream) *Stream {
+	l.streams.Add(1)
+	l.touch()
+	return &Stream{link: l, raw: raw, reader: bufio.NewReaderSize(raw, 4096)}
+}
+
+// Send writes one frame. It blocks while the peer's window is full.
+func (s *Stream) Send(m proto.Message) error {
+	p := bufferPool.Get().(*[]byte)
+	size := proto.Size(m)
+	if size > s.link.options.maxFrameBytes {
+		bufferPool.Put(p)
+		return Error.New("frame of %d bytes, at most %d are allowed", size, s.link.options.maxFrameBytes)
+	}
+	b := binary.AppendUvarint((*p)[:0], uint64(size))
+	b, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(b, m)
+	if err == nil {
+		s.sendMu.Lock()
+		s.wrote.Store(true)
+		_, err = s.raw.Write(b)
+		s.sendMu.Unlock()
+	}
+	if cap(b) <= maxPooledBytes {
+		*p = b
+		bufferPool.Put(p)
+	}
+	return s.wrap(err)
+}
+
+// Receive reads one frame into m. It returns io.EOF when the peer closed the
+// stream between frames.
+func (s *Stream) Receive(m proto.Message) error {
+	err := protodelim.UnmarshalOptions{MaxSize: int64(s.link.options.maxFrameBytes)}.UnmarshalFrom(s.reader, m)
+	if errors.Is(err, io.EOF) && s.link.Err() == nil {
+		return io.EOF
+	}
+	return s.wrap(err)
+}
+
+// SetDeadline bounds pending and future Send and Receive calls.
+func (s *Stream) SetDeadline(t time.Time) error { return s.raw.SetDeadline(t) }
+
+// Wrote reports whether a frame may have left this end.
+func (s *Stream) Wrote() bool { return s.wrote.Load() }
+
+// Link returns the link that carries the stream.
+func (s *Stream) Link() *Link { return s.link }
+
+// Close abandons the stream.
+func (s *Stream) Close() error {
+	s.closeOne.Do(func() {
+		s.link.streams.Add(-1)
+		s.link.lastUse.Store(time.Now().UnixNano())
+		_ = s.raw.Close()
+	})
+	return nil
+}
+
+func (s *Stream) wrap(err error) error {
+	if err == nil {
+		return nil
+	}
+	if cause := s.link.Err(); cause != nil {
+		return cause
+	}
+	return Error.Wrap(err)
+}
--- /dev/null
+++ b/wasabiwire/wire.go
@@ -0,0 +1,218 @@
+// Package wasabiwire converts the root package's values to and from the
+// schema's messages. It checks what comes from outside and decides nothing
+// else.
+package wasabiwire
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/wasabistand/wasabistand"
+	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
+)
+
+// Bounds on what peers may announce.
+const (
+	MaxNameBytes   = 128
+	MaxSlots       = 100_000
+	MaxConnections = 1_000_000
+)
+
+// FromHybridTime converts to the schema.
+func FromHybridTime(t wasabistand.HybridTime) *wasabistandv1.HybridTime {
+	return &wasabistandv1.HybridTime{WallUnixNs: t.WallUnixNano, Logical: t.Logical}
+}
+
+// ToHybridTime converts from the schema; nil is the zero time.
+func ToHybridTime(t *wasabistandv1.HybridTime) wasabistand.HybridTime {
+	return wasabistand.HybridTime{WallUnixNano: t.GetWallUnixNs(), Logical: t.GetLogical()}
+}
+
+// FromInstance converts to the schema.
+func FromInstance(i wasabistand.Instance) *wasabistandv1.Instance {
+	return &wasabistandv1.Instance{
+		Id:              i.ID,
+		Incarnation:     i.Incarnation,
+		Sequence:        i.Sequence,
+		Service:         i.Service,
+		LinkAddress:     i.LinkAddress,
+		AdminAddress:    i.AdminAddress,
+		Region:          i.Location.Region,
+		FailureDomain:   i.Location.FailureDomain,
+		Slots:           uint32(i.Slots),
+		Connections:     uint32(i.Connections),
+		State:           wasabistandv1.InstanceState(i.State),
+		Drained:         i.Drained,
+		Suspect:         i.Suspect,
+		RevisionInForce: i.RevisionInForce,
+	}
+}
+
+// ToInstance checks and converts an announced instance. Its errors are of the
+// class wasabistand.ErrInvalid and name the field.
+func ToInstance(m *wasabistandv1.Instance) (wasabistand.Instance, error) {
+	for _, f := range []struct{ name, value string }{
+		{"id", m.GetId()},
+		{"service", m.GetService()},
+		{"region", m.GetRegion()},
+		{"failure_domain", m.GetFailureDomain()},
+	} {
+		if f.value == "" || len(f.value) > MaxNameBytes {
+			return wasabistand.Instance{}, wasabistand.ErrInvalid.New("%s: %d bytes, allowed are 1 to %d", f.name, len(f.value), MaxNameBytes)
+		}
+	}
+	if _, err := netip.ParseAddrPort(m.GetLinkAddress()); err != nil {
+		return wasabistand.Instance{}, wasabistand.ErrInvalid.New("link_address: %q, allowed is IP:port", m.GetLinkAddress())
+	}
+	if a := m.GetAdminAddress(); a != "" {
+		if _, err := netip.ParseAddrPort(a); err != nil {
+			return wasabistand.Instance{}, wasabistand.ErrInvalid.New("admin_address: %q, allowed is IP:port", a)
+		}
+	}
+	if n := m.GetSlots(); n < 1 || n > MaxSlots {
+		return wasabistand.Instance{}, wasabistand.ErrInvalid.New("slots: %d, allowed are 1 to %d", n, MaxSlots)
+	}
+	if n := m.GetConnections(); n < 1 || n > MaxConnections {
+		return wasabistand.Instance{}, wasabistand.ErrInvalid.New("connections: %d, allowed are 1 to %d", n, MaxConnections)
+	}
+	if s := m.GetState(); s < wasabistandv1.InstanceState_INSTANCE_STATE_COLD || s > wasabistandv1.InstanceState_INSTANCE_STATE_LEAVING {
+		return wasabistand.Instance{}, wasabistand.ErrInvalid.New("state: %d, allowed are 1 to 3", s)
+	}
+	return wasabistand.Instance{
+		ID:              m.GetId(),
+		Incarnation:     m.GetIncarnation(),
+		Sequence:        m.GetSequence(),
+		Service:         m.GetService(),
+		LinkAddress:     m.GetLinkAddress(),
+		AdminAddress:    m.GetAdminAddress(),
+		Location:        wasabistand.Location{Region: m.GetRegion(), FailureDomain: m.GetFailureDomain()},
+		Slots:           int(m.GetSlots()),
+		Connections:     int(m.GetConnections()),
+		State:           wasabistand.InstanceState(m.GetState()),
+		Drained:         m.GetDrained(),
+		Suspect:         m.GetSuspect(),
+		RevisionInForce: m.GetRevisionInForce(),
+	}, nil
+}
+
+// FromImportance converts to the schema.
+func FromImportance(i wasabistand.Importance) wasabistandv1.Importance {
+	return wasabistandv1.Importance(i)
+}
+
+// ToImportance converts from the schema; a value that is not allowed becomes
+// the least importance, so that a faulty peer gains nothing.
+func ToImportance(m wasabistandv1.Importance) wasabistand.Importance {
+	if i := wasabistand.Importance(m); m > 0 && m <= wasabistandv1.Importance_IMPORTANCE_CRITICAL && i.Valid() {
+		return i
+	}
+	return wasabistand.Low
+}
+
+// FromLoad converts to the schema.
+func FromLoad(l wasabistand.Load) *wasabistandv1.Load {
+	return &wasabistandv1.Load{
+		Level:      FromImportance(l.Level),
+		LevelBelow: FromImportance(l.LevelBelow),
+		Running:    uint32(max(l.Running, 0)),
+		Waiting:    uint32(max(l.Waiting, 0)),
+		Limit:      uint32(max(l.Limit, 0)),
+		Leaving:    l.Leaving,
+	}
+}
+
+// ToLoad converts from the schema; nil stays nil.
+func ToLoad(m *wasabistandv1.Load) *wasabistand.Load {
+	if m == nil {
+		return nil
+	}
+	return &wasabistand.Load{
+		Level:      ToImportance(m.Level),
+		LevelBelow: ToImportance(m.LevelBelow),
+		Running:    int(m.Running),
+		Waiting:    int(m.Waiting),
+		Limit:      int(m.Limit),
+		Leaving:    m.Leaving,
+	}
+}
+
+// FromHeaders converts to the schema.
+func FromHeaders(list []wasabistand.HeaderField) []*wasabistandv1.Header {
+	out := make([]*wasabistandv1.Header, len(list))
+	for i, h := range list {
+		out[i] = &wasabistandv1.Header{Name: h.Name, Value: h.Value}
+	}
+	return out
+}
+
+// ToHeaders converts from the schema.
+func ToHeaders(list []*wasabistandv1.Header) []wasabistand.HeaderField {
+	out := make([]wasabistand.HeaderField, len(list))
+	for i, h := range list {
+		out[i] = wasabistand.HeaderField{Name: h.GetName(), Value: h.GetValue()}
+	}
+	return out
+}
+
+// FromRecordedAnswer converts to the schema; nil stays nil.
+func FromRecordedAnswer(a *wasabistand.RecordedAnswer) *wasabistandv1.RecordedAnswer {
+	if a == nil {
+		return nil
+	}
+	return &wasabistandv1.RecordedAnswer{Status: uint32(a.Status), Headers: FromHeaders(a.Headers), Body: a.Body, BodyOmitted: a.BodyOmitted}
+}
+
+// ToRecordedAnswer converts from the schema; nil stays nil.
+func ToRecordedAnswer(m *wasabistandv1.RecordedAnswer) *wasabistand.RecordedAnswer {
+	if m == nil {
+		return nil
+	}
+	return &wasabistand.RecordedAnswer{Status: int(m.Status), Headers: ToHeaders(m.Headers), Body: m.Body, BodyOmitted: m.BodyOmitted}
+}
+
+// FromEvent converts to the schema.
+func FromEvent(e wasabistand.Event) *wasabistandv1.Event {
+	m := &wasabistandv1.Event{
+		Time:      FromHybridTime(e.Time),
+		Instance:  e.Instance,
+		Kind:      string(e.Kind),
+		RequestId: e.RequestID,
+		Service:   e.Service,
+		Call:      e.Call,
+		Caller:    e.Caller,
+		Reason:    string(e.Reason),
+	}
+	if len(e.Fields) > 0 {
+		m.Fields = make(map[string]string, len(e.Fields))
+		for _, f := range e.Fields {
+			m.Fields[f.Name] = f.Value
+		}
+	}
+	return m
+}
+
+// ToEvent converts from the schema.
+func ToEvent(m *wasabistandv1.Event) wasabistand.Event {
+	e := wasabistand.Event{
+		Time:      ToHybridTime(m.GetTime()),
+		Instance:  m.GetInstance(),
+		Kind:      wasabistand.EventKind(m.GetKind()),
+		RequestID: m.GetRequestId(),
+		Service:   m.GetService(),
+		Call:      m.GetCall(),
+		Caller:    m.GetCaller(),
+		Reason:    wasabistand.Reason(m.GetReason()),
+	}
+	for k, v := range m.GetFields() {
+		e.Fields = append(e.Fields, wasabistand.HeaderField{Name: k, Value: v})
+	}
+	return e
+}
+
+// FromUnixMilli converts a wire time; zero is the zero time.
+func FromUnixMilli(ms int64) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(ms)
+}
