--- /dev/null
+++ b/wasabiadmission/options.go
@@ -0,0 +1,58 @@
+// Package wasabiadmission decides which calls one upstream runs, which wait
+// and which are refused, in strict order of importance. It does not decide
+// the limit, only how the slots within it are used.
+package wasabiadmission
+
+import "time"
+
+// Options are the settings of a Queue: an immutable value.
+type Options struct {
+	limit      int
+	queueLimit int
+	levelHold  time.Duration
+	preempt    bool
+	maxCallers int
+}
+
+// NewOptions returns the default settings.
+func NewOptions() Options {
+	return Options{
+		limit:      16,
+		queueLimit: 128,
+		levelHold:  200 * time.Millisecond,
+		maxCallers: 256,
+	}
+}
+
+// WithLimit returns a copy that runs at most n calls at once, at least 1.
+func (o Options) WithLimit(n int) Options {
+	o.limit = max(n, 1)
+	return o
+}
+
+// WithQueueLimit returns a copy that lets at most n calls wait.
+func (o Options) WithQueueLimit(n int) Options {
+	o.queueLimit = max(n, 0)
+	return o
+}
+
+// WithLevelHold returns a copy that lowers the level one step after d without
+// a refusal for load.
+func (o Options) WithLevelHold(d time.Duration) Options {
+	o.levelHold = max(d, time.Millisecond)
+	return o
+}
+
+// WithPreempt returns a copy that may cancel a running cancellable call in
+// favour of a more important one.
+func (o Options) WithPreempt(on bool) Options {
+	o.preempt = on
+	return o
+}
+
+// WithMaxCallers returns a copy that accounts at most n callers separately,
+// at least 1; further ones share one account.
+func (o Options) WithMaxCallers(n int) Options {
+	o.maxCallers = max(n, 1)
+	return o
+}
