--- /dev/null
+++ b/wasabiretry/retry_test.go
@@ -0,0 +1,228 @@
+package wasabiretry_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	_ "github.com/wasabistand/wasabistand/internal/wasabiseed"
+	"github.com/wasabistand/wasabistand/wasabiretry"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func ExampleAllowance() {
+	entry := wasabiretry.NewAllowance(3)
+	granted := entry.Split()
+	below := wasabiretry.NewAllowance(granted)
+	fmt.Println(granted, below.Take(), entry.Left())
+	entry.Return(granted, below.Left())
+	fmt.Println(entry.Left())
+	// Output:
+	// 2 true 1
+	// 2
+}
+
+func ExampleBudget() {
+	b := wasabiretry.NewBudget(wasabiretry.NewBudgetOptions().WithMinPerSecond(1))
+	for range 20 {
+		b.Attempt(start)
+	}
+	fmt.Println(b.Retry(start), b.Retry(start), b.Retry(start))
+	// Output: true true false
+}
+
+// call is one call of a generated tree. Its faults are drawn beforehand, so
+// that they do not depend on how goroutines interleave.
+type call struct {
+	below []*call
+	// faults holds one entry per attempt, the last one repeated.
+	faults []fault
+}
+
+type fault struct{ failed, answerLost, lies bool }
+
+func drawTree(t *rapid.T) *call {
+	depth := rapid.IntRange(1, 23).Draw(t, "depth")
+	random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+	failing := rapid.Float64Range(0, 1).Draw(t, "failing")
+	nodes := 0
+	var grow func(left int) *call
+	grow = func(left int) *call {
+		nodes++
+		c := &call{}
+		for range 4 {
+			c.faults = append(c.faults, fault{
+				failed:     random.Float64() < failing,
+				answerLost: random.IntN(4) == 0,
+				lies:       random.IntN(8) == 0,
+			})
+		}
+		if left > 1 {
+			c.below = append(c.below, grow(left-1))
+			for nodes < 60 && random.IntN(2) == 0 {
+				c.below = append(c.below, grow(1+random.IntN(left-1)))
+			}
+		}
+		return c
+	}
+	return grow(depth)
+}
+
+// run makes a call with its retries and then reports what it spent.
+func (c *call) run(a *wasabiretry.Allowance, retries *atomic.Int64) {
+	var branches sync.WaitGroup
+	for _, b := range c.below {
+		branches.Go(func() {
+			for attempt := 0; ; attempt++ {
+				f := b.faults[min(attempt, len(b.faults)-1)]
+				granted := a.Split()
+				below := wasabiretry.NewAllowance(granted)
+				b.run(below, retries)
+				switch {
+				case f.answerLost:
+				case f.lies:
+					a.Return(granted+5, 1000)
+				default:
+					a.Return(granted, below.Left())
+				}
+				if !f.failed || !a.Take() {
+					return
+				}
+				retries.Add(1)
+			}
+		})
+	}
+	branches.Wait()
+}
+
+// Guards against retries that multiply along a deep tree or across branches,
+// also when answers are lost or claim more tokens than were granted.
+func TestTreeRetriesStayBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tokens := rapid.IntRange(0, 8).Draw(t, "tokens")
+		tree := drawTree(t)
+		honest := rapid.Bool().Draw(t, "honest")
+		if honest {
+			clearLies(tree)
+		}
+		a := wasabiretry.NewAllowance(tokens)
+		var retries atomic.Int64
+		tree.run(a, &retries)
+		if honest {
+			assert.Assert(t, int(retries.Load())+a.Left() <= tokens,
+				"%d retries and %d left of %d", retries.Load(), a.Left(), tokens)
+			return
+		}
+		// A lying callee hides what was used below it, but each allowance
+		// still hands out no more than it holds.
+		assert.Assert(t, a.Left() <= tokens, "%d left of %d", a.Left(), tokens)
+	})
+}
+
+func clearLies(c *call) {
+	for i := range c.faults {
+		c.faults[i].lies = false
+	}
+	for _, b := range c.below {
+		clearLies(b)
+	}
+}
+
+// Guards against a deep chain whose leaf cannot retry at all.
+func TestLeafAtDepth23GetsToken(t *testing.T) {
+	n := 3
+	for range 23 {
+		n = wasabiretry.NewAllowance(n).Split()
+	}
+	assert.Equal(t, n, 1)
+}
+
+// Guards against tokens made from nothing by values from outside.
+func TestAllowanceRejectsFalseReturns(t *testing.T) {
+	a := wasabiretry.NewAllowance(3)
+	a.Return(5, 5)
+	assert.Equal(t, a.Left(), 3)
+	n := a.Split()
+	a.Return(n, -4)
+	assert.Equal(t, a.Left(), 1)
+	a.Return(n, n)
+	assert.Equal(t, a.Left(), 1)
+	assert.Equal(t, wasabiretry.NewAllowance(-1).Left(), 0)
+	assert.Equal(t, wasabiretry.NewAllowance(1<<40).Left(), wasabiretry.MaxTokens)
+}
+
+// Guards against a budget that lets more retries through in a window than its
+// share of first attempts or its minimum, whatever the pattern of arrivals.
+func TestBudgetBoundsEveryWindow(t *testing.T) {
+	type event struct {
+		at    time.Duration
+		retry bool
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		b := wasabiretry.NewBudget(wasabiretry.NewBudgetOptions().WithMinPerSecond(2))
+		var events []event
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 400).Draw(t, "events") {
+			now += time.Duration(rapid.IntRange(0, 12).Draw(t, "gap")) * time.Millisecond
+			e := event{at: now, retry: rapid.IntRange(0, 3).Draw(t, "retry") == 0}
+			if !e.retry {
+				b.Attempt(start.Add(now))
+			} else if !b.Retry(start.Add(now)) {
+				continue
+			}
+			events = append(events, e)
+			attempts, retries := 0, 0
+			for _, f := range events {
+				if !f.retry && f.at > now-time.Second {
+					attempts++
+				}
+				// Ten buckets cover at least the last 0.9 s.
+				if f.retry && f.at > now-900*time.Millisecond {
+					retries++
+				}
+			}
+			if e.retry {
+				assert.Assert(t, float64(retries) <= max(2, float64(attempts)/10),
+					"%d retries for %d attempts", retries, attempts)
+			}
+		}
+	})
+}
+
+// Guards against a clock step back that would free the budget.
+func TestBudgetIgnoresStepBack(t *testing.T) {
+	b := wasabiretry.NewBudget(wasabiretry.NewBudgetOptions())
+	for range 10 {
+		assert.Assert(t, b.Retry(start.Add(time.Minute)))
+	}
+	assert.Assert(t, !b.Retry(start))
+	assert.Assert(t, !b.Retry(start.Add(time.Minute)))
+	assert.Assert(t, b.Retry(start.Add(time.Hour)))
+}
+
+func BenchmarkAllowance(b *testing.B) {
+	b.ReportAllocs()
+	a := wasabiretry.NewAllowance(3)
+	for b.Loop() {
+		a.Return(a.Split(), 1)
+		a.Left()
+	}
+}
+
+func BenchmarkBudget(b *testing.B) {
+	b.ReportAllocs()
+	budget := wasabiretry.NewBudget(wasabiretry.NewBudgetOptions())
+	now := start
+	for b.Loop() {
+		now = now.Add(10 * time.Microsecond)
+		budget.Attempt(now)
+		budget.Retry(now)
+	}
+}
