Find the concurrency limit by Little's law

Cause: a limit that adds and removes step by step takes tens of round trips after a drop of capacity, and one that reads total latency collapses when a service further down is slow. Change: a window cuts the limit at once to throughput times base latency, raises the base instead when the cut did not help, and grows by a quarter otherwise. The standard error of the window guards against false cuts.

--- a/wasabilimit/adaptive.go
+++ b/wasabilimit/adaptive.go
@@ -1,15 +1,91 @@
 package wasabilimit
 
 import (
+	"fmt"
+	"math"
 	"time"
 
 	"github.com/wasabistand/wasabistand"
 )
 
-// Adaptive implements wasabistand.Limiter.
+const (
+	// overloadRatio is the latency, in multiples of the base, above which
+	// calls are taken to wait for each other inside the upstream.
+	overloadRatio = 1.5
+	// growthDivisor lets the limit grow by a quarter per window, so that it
+	// regains four times its value in seven windows.
+	growthDivisor = 4
+	// failedDivisor: above a tenth of failed calls the limit does not grow.
+	failedDivisor = 10
+)
+
+// learningWindows is how many windows set the base outright. Of the first
+// calls the shortest finish first, so the first windows show too little.
+const learningWindows = 4
+
+// Weights of a window in the base latency. It falls quickly when the window
+// is clearly faster, since nothing but an unloaded upstream answers faster. It
+// follows slowly otherwise, and most slowly while the limit is in use, or
+// queueing would be taken for the base. Differences within the window's noise
+// count alike in both directions, or the base would drift to its minimum.
+const (
+	baseFall        = 0.3
+	baseFollow      = 0.05
+	baseFollowInUse = 0.02
+)
+
+// Adaptive implements wasabistand.Limiter by Little's law. Its owner
+// serializes calls.
 type Adaptive struct {
 	options Options
 	limit   int
+	// reported is the upstream's own figure, 0 for none.
+	reported   int
+	reportedAt time.Time
+	// base is the upstream's own latency without queueing, 0 before the first
+	// window.
+	base    time.Duration
+	learned int
+	// dependency is the latest mean time that calls spent further down.
+	dependency time.Duration
+	window     window
+	cut        cut
+}
+
+// window sums up the calls that finished since it was opened.
+type window struct {
+	opened time.Time
+	// completed counts good calls for the throughput.
+	completed int
+	// samples counts the good calls that started under the present limit.
+	samples int
+	failed  int
+	used    int
+	own     time.Duration
+	total   time.Duration
+	// squares is the sum of the squared own times, in seconds.
+	squares float64
+}
+
+// mean returns the mean own time and its standard error.
+func (w *window) mean() (own, noise time.Duration) {
+	if w.samples == 0 {
+		return 0, 0
+	}
+	n := float64(w.samples)
+	own = w.own / time.Duration(w.samples)
+	variance := max(w.squares/n-own.Seconds()*own.Seconds(), 0)
+	return own, time.Duration(math.Sqrt(variance/n) * float64(time.Second))
+}
+
+// cut is the latest reduction for latency.
+type cut struct {
+	at time.Time
+	// pending says that no window has shown yet whether it helped.
+	pending bool
+	latency time.Duration
+	before  int
+	after   int
 }
 
 var _ wasabistand.Limiter = (*Adaptive)(nil)
@@ -17,21 +93,148 @@
 // New returns a limiter that starts from the declared slots, or from a
 // quarter of them when cold.
 func New(o Options) *Adaptive {
-	limit := o.slots
+	a := &Adaptive{options: o, limit: o.slots}
 	if o.cold {
-		limit = (o.slots + 3) / 4
+		a.limit = a.quarter()
 	}
-	return &Adaptive{options: o, limit: limit}
+	return a
 }
 
 // Observe records one finished call and returns the limit to apply.
-func (a *Adaptive) Observe(time.Time, wasabistand.Sample) int { return a.limit }
+func (a *Adaptive) Observe(now time.Time, s wasabistand.Sample) int {
+	if a.reported > 0 && now.Sub(a.reportedAt) >= a.options.reportHold {
+		a.reported = 0
+	}
+	w := &a.window
+	if w.opened.IsZero() {
+		w.opened = now
+	} else if !s.Failed {
+		w.completed++
+	}
+	// Calls that started before a cut still suffered from the old limit.
+	current := !s.Started.Before(a.cut.at)
+	if current || s.Failed {
+		if s.Running*4 >= a.Limit()*3 {
+			w.used++
+		}
+		if s.Failed {
+			w.failed++
+		} else {
+			total := max(now.Sub(s.Started), 0)
+			w.samples++
+			w.total += total
+			own := min(max(s.Own, 0), total)
+			w.own += own
+			w.squares += own.Seconds() * own.Seconds()
+		}
+	}
+	n, elapsed := w.samples+w.failed, now.Sub(w.opened)
+	target := min(max(a.limit, a.options.minSamples), a.options.maxSamples)
+	// A slow upstream fills windows slowly, just when a decision is urgent.
+	late := a.base > 0 && n >= a.options.minSamples && elapsed >= 2*(a.base+a.dependency)
+	// Of the calls that started after a cut the shortest finish first, so the
+	// window that judges the cut lasts for two round trips, and it never
+	// lowers the base.
+	early := a.cut.pending && elapsed < 2*(a.base+a.dependency)
+	if elapsed > 0 && !early && (n >= target || late) {
+		a.decide(now, elapsed)
+		a.window = window{opened: now}
+	}
+	return a.Limit()
+}
 
-// Report records what the upstream says of its own capacity in slots.
-func (a *Adaptive) Report(time.Time, int) int { return a.limit }
+// Report records what the upstream says of its own capacity in slots. It can
+// only lower the limit, and for the hold time only.
+func (a *Adaptive) Report(now time.Time, slots int) int {
+	a.reported, a.reportedAt = max(slots, 1), now
+	return a.Limit()
+}
 
 // Limit returns the current limit in slots, at least 1.
-func (a *Adaptive) Limit() int { return a.limit }
+func (a *Adaptive) Limit() int {
+	if a.reported > 0 {
+		return min(a.limit, a.reported)
+	}
+	return a.limit
+}
 
 // String names the implementation.
-func (a *Adaptive) String() string { return "wasabilimit.Adaptive" }
+func (a *Adaptive) String() string {
+	return fmt.Sprintf("wasabilimit.Adaptive(limit=%d slots=%d base=%s)", a.Limit(), a.options.slots, a.base)
+}
+
+// decide draws the consequence of a full window.
+func (a *Adaptive) decide(now time.Time, elapsed time.Duration) {
+	w := &a.window
+	inUse := w.used*2 >= w.samples+w.failed
+	rate := float64(w.completed) / elapsed.Seconds()
+	own, noise := w.mean()
+	if w.samples > 0 {
+		a.dependency = (w.total - w.own) / time.Duration(w.samples)
+	}
+	if w.failed*failedDivisor > w.samples+w.failed {
+		if inUse {
+			a.cutForFailures(now, rate, own)
+		}
+		return
+	}
+	if a.learned < learningWindows {
+		a.learned++
+		a.base = own
+	}
+	over := float64(own-noise) > overloadRatio*float64(a.base)
+	switch {
+	case over && inUse && a.cut.pending && !a.cut.helped(own):
+		// The latency does not depend on the limit, so it is the new base.
+		// Further cuts would only lose throughput.
+		a.base = own
+		a.limit = max(a.limit, a.cut.before)
+		a.cut.pending = false
+	case over && inUse:
+		// The slots also hold the calls that wait for services further down.
+		limit := max(int(math.Round(rate*(a.base+a.dependency).Seconds())), 1)
+		if limit < a.limit {
+			a.cut = cut{at: now, pending: true, latency: own, before: a.limit, after: limit}
+			a.limit = limit
+		}
+	default:
+		if !a.cut.pending {
+			a.adjustBase(own, noise, inUse)
+		}
+		a.cut.pending = false
+		if inUse && !over && a.Limit() == a.limit {
+			a.limit = min(a.limit+(a.limit+growthDivisor-1)/growthDivisor, a.options.slots)
+		}
+	}
+}
+
+// cutForFailures lowers the limit to what good calls used, at most by half
+// and not below a quarter of the slots, since calls also fail for reasons that
+// no limit cures.
+func (a *Adaptive) cutForFailures(now time.Time, rate float64, own time.Duration) {
+	good := int(math.Round(rate * (own + a.dependency).Seconds()))
+	limit := max(good, a.limit/2, a.quarter())
+	if limit < a.limit {
+		a.limit = limit
+		a.cut = cut{at: now}
+	}
+}
+
+func (a *Adaptive) adjustBase(own, noise time.Duration, inUse bool) {
+	weight := baseFollow
+	switch {
+	case own+2*noise < a.base:
+		weight = baseFall
+	case inUse:
+		weight = baseFollowInUse
+	}
+	a.base += time.Duration(weight * float64(own-a.base))
+}
+
+func (a *Adaptive) quarter() int { return (a.options.slots + 3) / 4 }
+
+// helped reports whether the latency fell at least half as much as the limit.
+func (c cut) helped(latency time.Duration) bool {
+	share := (1 + float64(c.after)/float64(c.before)) / 2
+	return float64(latency) <= share*float64(c.latency)
+}
--- a/wasabilimit/options.go
+++ b/wasabilimit/options.go
@@ -18,9 +18,9 @@
 func NewOptions(slots int) Options {
 	return Options{
 		slots: max(slots, 1),
-		// Eight samples show a step to 1.5 times the base in most windows; a
-		// false cut costs two windows of growth.
-		minSamples: 8,
+		// With fewer samples, calls of widely varying length cause false cuts at
+		// low limits; with more, a step is noticed later.
+		minSamples: 16,
 		maxSamples: 256,
 		reportHold: 5 * time.Second,
 	}
