Hold the admission level while preemption makes room

Change: a preemption restarts the hold. The oracle ends its runs with a Tick before each event, as during the run: it missed a fall inside Done.

--- a/wasabiadmission/behaviour_test.go
+++ b/wasabiadmission/behaviour_test.go
@@ -149,6 +149,27 @@
 	assert.Equal(t, len(q.Offer(now.Add(ms), ticket(5, wasabistand.Critical, patience))), 0)
 }
 
+// Guards against a level that falls while preemption still makes room, which
+// would admit the next calls to be cancelled.
+func TestPreemptionHoldsLevel(t *testing.T) {
+	q := newQueue(wasabiadmission.NewOptions().WithLimit(2).WithQueueLimit(1).WithPreempt(true), 100*ms)
+	for id := 1; id <= 2; id++ {
+		c := ticket(id, wasabistand.Low, patience)
+		c.Cancellable = id == 1
+		q.Offer(start, c)
+	}
+	q.Offer(start, ticket(3, wasabistand.High, patience))
+	assert.Equal(t, q.Offer(start, ticket(4, wasabistand.High, patience))[0].Reason, wasabistand.ReasonQueueFull)
+	q.Cancel(start, 3)
+	now := start.Add(110 * ms)
+	assert.Equal(t, q.Offer(now, ticket(5, wasabistand.Critical, 230*ms))[0].Verdict, wasabistand.Preempt)
+	q.Cancel(now, 1)
+	q.Tick(now.Add(199 * ms))
+	assert.Equal(t, q.Load().Level, wasabistand.High)
+	q.Tick(now.Add(200 * ms))
+	assert.Equal(t, q.Load().Level, wasabistand.Normal)
+}
+
 // ends is a heap of running calls by their end.
 type ends []end
 
--- a/wasabiadmission/queue.go
+++ b/wasabiadmission/queue.go
@@ -312,6 +312,9 @@
 				Reason: wasabistand.ReasonPreempted, RetryAfter: q.retryAfter(now, j),
 			})
 			q.shed(now, j)
+			// The more important call would have been refused otherwise, so
+			// the level holds as it would have then.
+			q.fallAt = now.Add(q.options.levelHold)
 			return true
 		}
 	}
--- a/wasabiadmission/queue_test.go
+++ b/wasabiadmission/queue_test.go
@@ -212,6 +212,8 @@
 		}
 		// Once the load ends, the level returns to Low without outside help.
 		for range 2000 {
+			// As above, the level falls only in a Tick that the oracle sees.
+			o.settle()
 			next := o.q.Next()
 			if id, ok := o.pick(o.running, last); ok {
 				delete(o.running, id)
@@ -221,7 +223,6 @@
 			} else if next.After(o.now) {
 				o.now = next
 			}
-			o.settle()
 		}
 		assert.DeepEqual(t, o.q.Load(), wasabistand.Load{
 			Level: wasabistand.Low, LevelBelow: wasabistand.Low, Limit: o.limit,
