Measure throughput only while the limit is in use

Cause: a lull of a minute within a window counted as low throughput, so the surge after it cut the limit from 55 to 1. Change: throughput is measured since every call found the limit in use, and a rate of fewer than eight calls does not cut. Result: the new test fails without the change (limit 1) and passes with it.

--- a/wasabilimit/adaptive.go
+++ b/wasabilimit/adaptive.go
@@ -55,7 +55,10 @@
 // window sums up the calls that finished since it was opened.
 type window struct {
 	opened time.Time
-	// completed counts good calls for the throughput.
+	// full is since when every call found the limit in use, and completed
+	// counts the good calls from then on. Throughput is measured over this
+	// time only, so that a lull does not look like a lack of capacity.
+	full      time.Time
 	completed int
 	// samples counts the good calls that started under the present limit.
 	samples int
@@ -107,14 +110,18 @@
 	}
 	w := &a.window
 	if w.opened.IsZero() {
-		w.opened = now
+		w.opened, w.full = now, now
 	} else if !s.Failed {
 		w.completed++
 	}
+	used := s.Running*4 >= a.Limit()*3
+	if !used {
+		w.full, w.completed = now, 0
+	}
 	// Calls that started before a cut still suffered from the old limit.
 	current := !s.Started.Before(a.cut.at)
 	if current || s.Failed {
-		if s.Running*4 >= a.Limit()*3 {
+		if used {
 			w.used++
 		}
 		if s.Failed {
@@ -137,8 +144,8 @@
 	// lowers the base.
 	early := a.cut.pending && elapsed < 2*(a.base+a.dependency)
 	if elapsed > 0 && !early && (n >= target || late) {
-		a.decide(now, elapsed)
-		a.window = window{opened: now}
+		a.decide(now)
+		a.window = window{opened: now, full: now}
 	}
 	return a.Limit()
 }
@@ -164,10 +171,15 @@
 }
 
 // decide draws the consequence of a full window.
-func (a *Adaptive) decide(now time.Time, elapsed time.Duration) {
+func (a *Adaptive) decide(now time.Time) {
 	w := &a.window
 	inUse := w.used*2 >= w.samples+w.failed
-	rate := float64(w.completed) / elapsed.Seconds()
+	rate, measured := 0.0, false
+	if full := now.Sub(w.full).Seconds(); full > 0 {
+		rate = float64(w.completed) / full
+		// A rate of fewer calls is too coarse for a cut.
+		measured = w.completed*2 >= a.options.minSamples
+	}
 	own, noise := w.mean()
 	if w.samples > 0 {
 		a.dependency = (w.total - w.own) / time.Duration(w.samples)
@@ -190,6 +202,8 @@
 		a.base = own
 		a.limit = max(a.limit, a.cut.before)
 		a.cut.pending = false
+	case over && inUse && !measured:
+		// The next window shows it.
 	case over && inUse:
 		// The slots also hold the calls that wait for services further down.
 		limit := max(int(math.Round(rate*(a.base+a.dependency).Seconds())), 1)
--- a/wasabilimit/adaptive_test.go
+++ b/wasabilimit/adaptive_test.go
@@ -131,6 +131,22 @@
 	}
 }
 
+// Guards against a lull within a window being taken for low throughput.
+func TestSurgeAfterLull(t *testing.T) {
+	l := wasabilimit.New(wasabilimit.NewOptions(slots))
+	now := start
+	observe := func(calls int, own time.Duration, running int) {
+		for n := range calls {
+			now = now.Add(own / slots)
+			l.Observe(now, wasabistand.Sample{Started: now.Add(-own), Own: own, Running: max(running, n+1)})
+		}
+	}
+	observe(10*slots+10, service, slots)
+	now = now.Add(time.Minute)
+	observe(30, 4*service, 0)
+	assert.Assert(t, l.Limit() >= slots/4, "limit %d", l.Limit())
+}
+
 // Guards against a limit that collapses because a service further down, or
 // every call alike, is slower, which no limit can cure.
 func TestSlowDependencyDoesNotCollapse(t *testing.T) {
