Test a base latency that was taken under load

Cause: a node that restarts during overload takes the queueing for the normal latency and keeps the limit at the declared slots, so the overload outlasts the restart. Change: a base taken while the limit was in use is tested by halving the limit for a window; the half is kept as long as it answers faster. Two tests without effect end the suspicion.

--- a/wasabilimit/adaptive.go
+++ b/wasabilimit/adaptive.go
@@ -23,6 +23,21 @@
 // calls the shortest finish first, so the first windows show too little.
 const learningWindows = 4
 
+// A base that was taken while the limit was in use may include queueing, as
+// after a restart during overload. It is tested by halving the limit for one
+// window, soon after the first windows and later so seldom that the tests
+// cost less than a hundredth of the throughput.
+const (
+	testEvery      = 10 * time.Second
+	testRoundTrips = 200
+	// testSettle is how many round trips pass before a test counts calls,
+	// since the shortest finish first, and testSamples how many it counts.
+	testDelay   = 10
+	testsNeeded = 2
+	testSettle  = 3
+	testSamples = 48
+)
+
 // Weights of a window in the base latency. It falls quickly when the window
 // is clearly faster, since nothing but an unloaded upstream answers faster. It
 // follows slowly otherwise, and most slowly while the limit is in use, or
@@ -46,6 +61,10 @@
 	// window.
 	base    time.Duration
 	learned int
+	// suspect is how many tests must still show that the base includes no
+	// queueing; testAt is when the next one starts.
+	suspect int
+	testAt  time.Time
 	// dependency is the latest mean time that calls spent further down.
 	dependency time.Duration
 	window     window
@@ -86,6 +105,8 @@
 	at time.Time
 	// pending says that no window has shown yet whether it helped.
 	pending bool
+	// test says that the cut only tests the base.
+	test    bool
 	latency time.Duration
 	before  int
 	after   int
@@ -120,6 +141,9 @@
 	}
 	// Calls that started before a cut still suffered from the old limit.
 	current := !s.Started.Before(a.cut.at)
+	if a.cut.test && now.Sub(a.cut.at) < testSettle*(a.base+a.dependency) {
+		current = false
+	}
 	if current || s.Failed {
 		if used {
 			w.used++
@@ -137,8 +161,11 @@
 	}
 	n, elapsed := w.samples+w.failed, now.Sub(w.opened)
 	target := min(max(a.limit, a.options.minSamples), a.options.maxSamples)
+	if a.cut.test {
+		target = max(target, testSamples)
+	}
 	// A slow upstream fills windows slowly, just when a decision is urgent.
-	late := a.base > 0 && n >= a.options.minSamples && elapsed >= 2*(a.base+a.dependency)
+	late := a.base > 0 && !a.cut.test && n >= a.options.minSamples && elapsed >= 2*(a.base+a.dependency)
 	// Of the calls that started after a cut the shortest finish first, so the
 	// window that judges the cut lasts for two round trips, and it never
 	// lowers the base.
@@ -193,6 +220,14 @@
 	if a.learned < learningWindows {
 		a.learned++
 		a.base = own
+		if inUse && !a.options.cold {
+			a.suspect = testsNeeded
+		}
+		a.testAt = now.Add(testDelay * (a.base + a.dependency))
+	}
+	if a.cut.test {
+		a.judgeTest(now, own, noise, inUse)
+		return
 	}
 	over := float64(own-noise) > overloadRatio*float64(a.base)
 	switch {
@@ -202,6 +237,8 @@
 		a.base = own
 		a.limit = max(a.limit, a.cut.before)
 		a.cut.pending = false
+		a.suspect = testsNeeded
+		a.testAt = a.testLater(now)
 	case over && inUse && !measured:
 		// The next window shows it.
 	case over && inUse:
@@ -216,12 +253,42 @@
 			a.adjustBase(own, noise, inUse)
 		}
 		a.cut.pending = false
+		if a.suspect > 0 && inUse && a.learned == learningWindows && !now.Before(a.testAt) {
+			a.startTest(now, own)
+			return
+		}
 		if inUse && !over && a.Limit() == a.limit {
 			a.limit = min(a.limit+(a.limit+growthDivisor-1)/growthDivisor, a.options.slots)
 		}
 	}
 }
 
+// startTest halves the limit for one window.
+func (a *Adaptive) startTest(now time.Time, own time.Duration) {
+	a.cut = cut{at: now, pending: true, test: true, latency: own, before: a.limit, after: (a.limit + 1) / 2}
+	a.limit = a.cut.after
+}
+
+// judgeTest ends a test of the base. As long as half of the limit answers
+// faster, calls were waiting for each other, and the half is kept.
+func (a *Adaptive) judgeTest(now time.Time, own, noise time.Duration, inUse bool) {
+	if inUse && a.limit > 1 && a.cut.helped(own+noise) {
+		a.base = min(a.base, own)
+		a.startTest(now, own)
+		return
+	}
+	a.limit = max(a.limit, a.cut.before)
+	if inUse {
+		a.suspect--
+	}
+	a.testAt = a.testLater(now)
+	a.cut = cut{}
+}
+
+func (a *Adaptive) testLater(now time.Time) time.Time {
+	return now.Add(max(testEvery, testRoundTrips*(a.base+a.dependency)))
+}
+
 // cutForFailures lowers the limit to what good calls used, at most by half
 // and not below a quarter of the slots, since calls also fail for reasons that
 // no limit cures.
