Ignore latency rises below a millisecond

Cause: for calls of some ten microseconds a rise by half is the scheduler's, not the upstream's; and a test of the base under a lower report shows nothing. Change: a rise must exceed 1 ms to count as overload; tests of the base wait until no report holds the limit down.

--- a/wasabilimit/adaptive.go
+++ b/wasabilimit/adaptive.go
@@ -12,6 +12,9 @@
 	// overloadRatio is the latency, in multiples of the base, above which
 	// calls are taken to wait for each other inside the upstream.
 	overloadRatio = 1.5
+	// minRise is a rise in latency that no caller notices; below it the
+	// scheduling of the processes would count as overload of fast calls.
+	minRise = time.Millisecond
 	// growthDivisor lets the limit grow by a quarter per window, so that it
 	// regains four times its value in seven windows.
 	growthDivisor = 4
@@ -229,7 +232,7 @@
 		a.judgeTest(now, own, noise, inUse)
 		return
 	}
-	over := float64(own-noise) > overloadRatio*float64(a.base)
+	over := float64(own-noise) > overloadRatio*float64(a.base) && own-a.base > minRise
 	switch {
 	case over && inUse && a.cut.pending && !a.cut.helped(own):
 		// The latency does not depend on the limit, so it is the new base.
@@ -253,7 +256,8 @@
 			a.adjustBase(own, noise, inUse)
 		}
 		a.cut.pending = false
-		if a.suspect > 0 && inUse && a.learned == learningWindows && !now.Before(a.testAt) {
+		// A report that holds the limit down would hide the effect of a test.
+		if a.suspect > 0 && inUse && a.Limit() == a.limit && a.learned == learningWindows && !now.Before(a.testAt) {
 			a.startTest(now, own)
 			return
 		}
--- a/wasabilimit/adaptive_test.go
+++ b/wasabilimit/adaptive_test.go
@@ -197,6 +197,18 @@
 	assert.Equal(t, u.limiter.Limit(), slots)
 }
 
+// Guards against cuts for a rise that only the scheduler causes.
+func TestFastCallsKeepLimit(t *testing.T) {
+	l := wasabilimit.New(wasabilimit.NewOptions(slots).WithCold(true))
+	now := start
+	for n := range 5000 {
+		now = now.Add(time.Microsecond)
+		own := 50 * time.Microsecond * time.Duration(1+n/2500*9)
+		l.Observe(now, wasabistand.Sample{Started: now.Add(-own), Own: own, Running: l.Limit()})
+	}
+	assert.Equal(t, l.Limit(), slots)
+}
+
 // Guards against failures of another cause driving the limit to 1, and
 // against growth while the upstream sheds.
 func TestFailures(t *testing.T) {
