Add the stand-in upstream

Cause: the demonstration and the measurements need an upstream that is slow, cold, draining or lying on demand. Change: wasabiupstream, an HTTP server with slots, a queue, cold start, shedding, deadlines, cancellation, outgoing calls with retries of its own, and a ledger of work and runs by request and key.

--- /dev/null
+++ b/wasabiupstream/ledger.go
@@ -0,0 +1,81 @@
+package wasabiupstream
+
+import (
+	"sync"
+	"time"
+)
+
+// Ledger accounts upstream work by request, so that work for requests that
+// failed can be told from useful work. It is safe for concurrent use.
+type Ledger struct {
+	mu       sync.Mutex
+	work     map[string]time.Duration
+	attempts map[string]int
+	runs     map[string]int
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{work: map[string]time.Duration{}, attempts: map[string]int{}, runs: map[string]int{}}
+}
+
+func (l *Ledger) start(request, key string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.attempts[request]++
+	if key != "" {
+		l.runs[key]++
+	}
+}
+
+func (l *Ledger) worked(request string, d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.work[request] += d
+}
+
+// Totals are the sums of a ledger.
+type Totals struct {
+	// Work is all upstream time, Wasted the part for requests that failed.
+	Work, Wasted time.Duration
+	// Attempts is how many calls reached an upstream.
+	Attempts int
+	// Doubled is how many keys ran more than once.
+	Doubled int
+}
+
+// Totals sums the ledger; succeeded tells which requests were answered.
+func (l *Ledger) Totals(succeeded func(request string) bool) Totals {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var t Totals
+	for r, d := range l.work {
+		t.Work += d
+		if !succeeded(r) {
+			t.Wasted += d
+		}
+	}
+	for _, n := range l.attempts {
+		t.Attempts += n
+	}
+	for _, n := range l.runs {
+		if n > 1 {
+			t.Doubled++
+		}
+	}
+	return t
+}
+
+// Attempts returns how many calls of a request reached an upstream.
+func (l *Ledger) Attempts(request string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.attempts[request]
+}
+
+// Runs returns how often a key was run.
+func (l *Ledger) Runs(key string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.runs[key]
+}
--- /dev/null
+++ b/wasabiupstream/upstream.go
@@ -0,0 +1,236 @@
+package wasabiupstream
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Header names that the stand-in reads and copies.
+const (
+	headerRequest = "Wasabi-Request"
+	headerCall    = "Wasabi-Call"
+	headerService = "Wasabi-Service"
+	headerShed    = "Wasabi-Shed"
+	headerTimeout = "Wasabi-Timeout"
+	headerKey     = "Idempotency-Key"
+)
+
+// HealthPath is where the stand-in reports its health and slots.
+const HealthPath = "/-/health"
+
+// Upstream is a running stand-in. It is safe for concurrent use.
+type Upstream struct {
+	settings Settings
+	slots    chan struct{}
+	waiting  atomic.Int64
+	running  atomic.Int64
+	started  time.Time
+	slowdown atomic.Uint64 // percent
+	draining atomic.Bool
+	server   *http.Server
+	address  string
+	wait     sync.WaitGroup
+}
+
+// New returns a stand-in that is not yet listening; it can serve as a handler.
+func New(s Settings) *Upstream {
+	u := &Upstream{settings: s, slots: make(chan struct{}, s.slots), started: time.Now()}
+	u.slowdown.Store(100)
+	return u
+}
+
+// Start serves on a loopback address.
+func (u *Upstream) Start() error {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	u.address = ln.Addr().String()
+	u.server = &http.Server{Handler: u, ReadHeaderTimeout: 10 * time.Second}
+	u.wait.Go(func() { _ = u.server.Serve(ln) })
+	return nil
+}
+
+// URL returns the base URL.
+func (u *Upstream) URL() string { return "http://" + u.address }
+
+// SetSlowdown makes each call take factor times its service time.
+func (u *Upstream) SetSlowdown(factor float64) { u.slowdown.Store(uint64(factor * 100)) }
+
+// Drain makes the stand-in shed all further calls.
+func (u *Upstream) Drain() { u.draining.Store(true) }
+
+// Running returns how many calls hold a slot.
+func (u *Upstream) Running() int { return int(u.running.Load()) }
+
+// Close ends all calls and waits.
+func (u *Upstream) Close() error {
+	if u.server == nil {
+		return nil
+	}
+	err := u.server.Close()
+	u.wait.Wait()
+	return err
+}
+
+// String names the implementation.
+func (u *Upstream) String() string { return "stand-in " + u.settings.service }
+
+// ServeHTTP implements http.Handler.
+func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == HealthPath {
+		status, slots := u.settings.health(u.settings.slots)
+		w.WriteHeader(status)
+		fmt.Fprintf(w, "Slots = %d\n", slots)
+		return
+	}
+	ctx := r.Context()
+	if ms, err := strconv.ParseInt(r.Header.Get(headerTimeout), 10, 64); err == nil && ms > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Duration(ms)*time.Millisecond)
+		defer cancel()
+	}
+	if u.draining.Load() || u.waiting.Load() >= int64(u.settings.queue) {
+		w.Header().Set(headerShed, r.Header.Get(headerCall))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	request := r.Header.Get(headerRequest)
+	// The body is read whole before the work, as a server that stores it does.
+	size, err := io.Copy(io.Discard, r.Body)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if !u.acquire(ctx) {
+		w.WriteHeader(http.StatusGatewayTimeout)
+		return
+	}
+	u.settings.ledger.start(request, r.Header.Get(headerKey))
+	whole := u.work(ctx, request)
+	u.release()
+	if !whole {
+		w.WriteHeader(http.StatusGatewayTimeout)
+		return
+	}
+	if err := u.callBelow(ctx, r); err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	w.Header().Set("Content-Type", "text/plain")
+	fmt.Fprintf(w, "%s answers %s of %d bytes\n", u.settings.service, request, size)
+	_, _ = io.WriteString(w, strings.Repeat(".", u.settings.answerBytes))
+}
+
+// Answer returns how the answer to a request begins.
+func Answer(service, request string) string {
+	return fmt.Sprintf("%s answers %s ", service, request)
+}
+
+func (u *Upstream) acquire(ctx context.Context) bool {
+	u.waiting.Add(1)
+	defer u.waiting.Add(-1)
+	select {
+	case u.slots <- struct{}{}:
+		u.running.Add(1)
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (u *Upstream) release() {
+	u.running.Add(-1)
+	<-u.slots
+}
+
+// work holds a slot for the service time and reports whether it was finished.
+func (u *Upstream) work(ctx context.Context, request string) bool {
+	d := u.settings.serviceTime * time.Duration(u.slowdown.Load()) / 100
+	if c := u.settings.coldStart; c > 0 {
+		if left := c - time.Since(u.started); left > 0 {
+			d = time.Duration(float64(d) * (1 + (u.settings.coldFactor-1)*float64(left)/float64(c)))
+		}
+	}
+	start := time.Now()
+	defer func() { u.settings.ledger.worked(request, time.Since(start)) }()
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (u *Upstream) callBelow(ctx context.Context, r *http.Request) error {
+	var group sync.WaitGroup
+	errs := make([]error, len(u.settings.below))
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for i, b := range u.settings.below {
+		if !b.Parallel {
+			group.Wait()
+		}
+		group.Go(func() {
+			if errs[i] = u.callOne(ctx, r, b); errs[i] != nil {
+				cancel() // The request fails: stop what runs beside it.
+			}
+		})
+	}
+	group.Wait()
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (u *Upstream) callOne(ctx context.Context, r *http.Request, b Below) error {
+	var err error
+	for range u.settings.hopRetries + 1 {
+		if err = u.attempt(ctx, r, b); err == nil || ctx.Err() != nil {
+			return err
+		}
+	}
+	return err
+}
+
+func (u *Upstream) attempt(ctx context.Context, r *http.Request, b Below) error {
+	out, err := http.NewRequestWithContext(ctx, b.Method, u.settings.entry()+b.Path, nil)
+	if err != nil {
+		return err
+	}
+	out.Header.Set(headerService, b.Service)
+	for _, h := range []string{headerRequest, headerCall, headerKey} {
+		if v := r.Header.Get(h); v != "" {
+			out.Header.Set(h, v)
+		}
+	}
+	resp, err := u.settings.client.Do(out)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, 1<<20))
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: status %d", b.Service, resp.StatusCode)
+	}
+	if want := Answer(b.Service, r.Header.Get(headerRequest)); !strings.HasPrefix(string(text), want) {
+		return fmt.Errorf("%s: answer begins %.60q, want %q", b.Service, text, want)
+	}
+	return nil
+}
