Add operators' commands

Cause: operators drive the system by the schema alone and need a client that keeps an unknown outcome apart from a refusal.

--- /dev/null
+++ b/cmd/wasabistand/main.go
@@ -0,0 +1,41 @@
+// Command wasabistand runs a node or a control instance, the demonstration and
+// the measurements, and sends operators' commands.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/wasabistand/wasabistand/wasabicommand"
+)
+
+func main() {
+	os.Exit(run(context.Background(), os.Args[1:]))
+}
+
+func run(ctx context.Context, args []string) int {
+	root := &ffcli.Command{
+		Name:        "wasabistand",
+		ShortUsage:  "wasabistand COMMAND [flags] ...",
+		ShortHelp:   "overload control for service call graphs",
+		LongHelp:    wasabicommand.ExitCodes,
+		FlagSet:     flag.NewFlagSet("wasabistand", flag.ContinueOnError),
+		Subcommands: wasabicommand.New(os.Stdout),
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) > 0 {
+				return wasabicommand.UnknownCommand(args[0])
+			}
+			return flag.ErrHelp
+		},
+	}
+	err := root.ParseAndRun(ctx, args)
+	if err != nil && !errors.Is(err, flag.ErrHelp) {
+		fmt.Fprintln(os.Stderr, "wasabistand:", err)
+	}
+	return wasabicommand.ExitCode(err)
+}
--- a/wasabiupstream/upstream.go
+++ b/wasabiupstream/upstream.go
@@ -114,10 +114,11 @@
 		w.WriteHeader(http.StatusGatewayTimeout)
 		return
 	}
+	// The slot is held during outgoing calls, as by a server with a thread
+	// for each call.
+	defer u.release()
 	u.settings.ledger.start(request, r.Header.Get(headerKey))
-	whole := u.work(ctx, request)
-	u.release()
-	if !whole {
+	if !u.work(ctx, request) {
 		w.WriteHeader(http.StatusGatewayTimeout)
 		return
 	}
