Keep an operator's lost answer apart from a refusal

Cause: when one control instance lost the answer and the next refused, the client reported the refusal, and an operator could take the command for not accepted. Change: a try that may have been accepted makes the whole call's outcome unknown unless a later try gives a definite answer.

--- a/wasabioperator/client.go
+++ b/wasabioperator/client.go
@@ -7,7 +7,10 @@
 	"context"
 	"crypto/rand"
 	"errors"
+	"fmt"
+	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -54,6 +57,12 @@
 	return o
 }
 
+// WithRounds returns a copy that asks all addresses up to n times.
+func (o Options) WithRounds(n int) Options {
+	o.rounds = max(n, 1)
+	return o
+}
+
 // WithHTTPClient returns a copy that sends by c.
 func (o Options) WithHTTPClient(c *http.Client) Options {
 	o.http = c
@@ -99,23 +108,48 @@
 // them again after a lost answer acts once.
 func Call[Q, A any](ctx context.Context, c *Client, q *Q, method func(wasabistandv1connect.OperatorServiceClient) func(context.Context, *connect.Request[Q]) (*connect.Response[A], error)) (*A, error) {
 	var last error
+	reached := false
 	for round := range c.options.rounds {
 		if round > 0 {
 			select {
 			case <-time.After(c.options.pause):
 			case <-ctx.Done():
-				return nil, errors.Join(last, ctx.Err())
+				return nil, outcome(last, reached)
 			}
 		}
 		for _, k := range c.clients {
 			answer, err := callOnce(ctx, c.options.timeout, q, method(k))
-			if err == nil || !again(err) || ctx.Err() != nil {
+			if err == nil || !again(err) {
 				return answer, err
 			}
 			last = err
+			reached = reached || mayHaveReached(err)
+			if ctx.Err() != nil {
+				return nil, outcome(last, reached)
+			}
 		}
 	}
-	return nil, last
+	return nil, outcome(last, reached)
+}
+
+// outcome says that the outcome is unknown when any try may have been
+// accepted, even if the last one certainly was not.
+func outcome(last error, reached bool) error {
+	if !reached {
+		return last
+	}
+	return connect.NewError(connect.CodeUnavailable, fmt.Errorf("outcome unknown: %w", last))
+}
+
+// mayHaveReached reports whether a command may have been accepted although
+// its answer is an error.
+func mayHaveReached(err error) bool {
+	if connect.IsWireError(err) {
+		var failure *connect.Error
+		return errors.As(err, &failure) && (failure.Code() != connect.CodeUnavailable || strings.Contains(failure.Message(), "outcome unknown"))
+	}
+	var dial *net.OpError
+	return !errors.As(err, &dial) || dial.Op != "dial"
 }
 
 func callOnce[Q, A any](ctx context.Context, timeout time.Duration, q *Q, call func(context.Context, *connect.Request[Q]) (*connect.Response[A], error)) (*A, error) {
--- /dev/null
+++ b/wasabioperator/client_test.go
@@ -0,0 +1,99 @@
+package wasabioperator_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+
+	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
+	"github.com/wasabistand/wasabistand/gen/wasabistand/v1/wasabistandv1connect"
+	"github.com/wasabistand/wasabistand/wasabioperator"
+)
+
+// control answers Drain by a function.
+type control struct {
+	wasabistandv1connect.UnimplementedOperatorServiceHandler
+	drain func(*wasabistandv1.DrainRequest) (*wasabistandv1.DrainResponse, error)
+}
+
+func (c control) Drain(_ context.Context, q *connect.Request[wasabistandv1.DrainRequest]) (*connect.Response[wasabistandv1.DrainResponse], error) {
+	a, err := c.drain(q.Msg)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(a), nil
+}
+
+func serve(t *testing.T, f func(*wasabistandv1.DrainRequest) (*wasabistandv1.DrainResponse, error)) string {
+	t.Helper()
+	mux := http.NewServeMux()
+	mux.Handle(wasabistandv1connect.NewOperatorServiceHandler(control{drain: f}))
+	s := httptest.NewServer(mux)
+	t.Cleanup(s.Close)
+	return s.URL
+}
+
+func drain(t *testing.T, addresses ...string) (*wasabistandv1.DrainResponse, error) {
+	t.Helper()
+	c, err := wasabioperator.New(wasabioperator.NewOptions(addresses...).WithRounds(1))
+	assert.NilError(t, err)
+	q := &wasabistandv1.DrainRequest{Command: c.NewIdentity(), Instance: "a"}
+	return wasabioperator.Call(t.Context(), c, q, func(k wasabistandv1connect.OperatorServiceClient) func(context.Context, *connect.Request[wasabistandv1.DrainRequest]) (*connect.Response[wasabistandv1.DrainResponse], error) {
+		return k.Drain
+	})
+}
+
+// Guards against a resend under another identity, which would act twice.
+func TestResendKeepsIdentity(t *testing.T) {
+	var first, second string
+	a := serve(t, func(q *wasabistandv1.DrainRequest) (*wasabistandv1.DrainResponse, error) {
+		first = q.Command.Id
+		panic(http.ErrAbortHandler) // The answer is lost.
+	})
+	b := serve(t, func(q *wasabistandv1.DrainRequest) (*wasabistandv1.DrainResponse, error) {
+		second = q.Command.Id
+		return &wasabistandv1.DrainResponse{Revision: 7, Repeated: true}, nil
+	})
+	answer, err := drain(t, a, b)
+	assert.NilError(t, err)
+	assert.Equal(t, answer.Revision, uint64(7))
+	assert.Assert(t, first != "" && first == second)
+}
+
+// Guards against reporting "nothing was changed" when an earlier try may have
+// been accepted.
+func TestLostAnswerStaysUnknown(t *testing.T) {
+	a := serve(t, func(*wasabistandv1.DrainRequest) (*wasabistandv1.DrainResponse, error) { panic(http.ErrAbortHandler) })
+	refuse := func(*wasabistandv1.DrainRequest) (*wasabistandv1.DrainResponse, error) {
+		return nil, connect.NewError(connect.CodeUnavailable, errors.New("no quorum"))
+	}
+	_, err := drain(t, a, serve(t, refuse))
+	assert.ErrorContains(t, err, "outcome unknown")
+	_, err = drain(t, serve(t, refuse), "127.0.0.1:1")
+	assert.Assert(t, err != nil)
+	assert.Equal(t, connect.CodeOf(err), connect.CodeUnavailable)
+	assert.Assert(t, !strings.Contains(err.Error(), "outcome unknown"), "%v", err)
+}
+
+// Guards against trying other control instances with a command that lost.
+func TestConflictIsFinal(t *testing.T) {
+	var calls atomic.Int64
+	f := func(*wasabistandv1.DrainRequest) (*wasabistandv1.DrainResponse, error) {
+		calls.Add(1)
+		failure := connect.NewError(connect.CodeAborted, errors.New("lost"))
+		detail, err := connect.NewErrorDetail(&wasabistandv1.Conflict{LatestRevision: 9, Winner: "alice"})
+		assert.NilError(t, err)
+		failure.AddDetail(detail)
+		return nil, failure
+	}
+	_, err := drain(t, serve(t, f), serve(t, f))
+	assert.Equal(t, wasabioperator.ConflictOf(err).GetLatestRevision(), uint64(9))
+	assert.Equal(t, calls.Load(), int64(1))
+}
