--- /dev/null
+++ b/wasabistate/configuration.go
@@ -0,0 +1,251 @@
+package wasabistate
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/wasabistand/wasabistand"
+	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
+)
+
+// Kinds of history entries.
+const (
+	KindApply   = "apply"
+	KindDrain   = "drain"
+	KindUndrain = "undrain"
+	KindAdopt   = "adopt"
+)
+
+// Document is a configuration document as of one revision.
+type Document struct {
+	// Revision also grows with drains and undrains.
+	Revision uint64
+	// DocumentRevision is the revision that made the document.
+	DocumentRevision uint64
+	TOML             string
+}
+
+// Entry is one accepted command that made a revision.
+type Entry struct {
+	Revision       uint64
+	Kind           string
+	Operator       string
+	AcceptedUnixMs int64
+	Comment        string
+	// Instance is that of a drain or undrain.
+	Instance string
+}
+
+// Message returns the schema's history entry.
+func (e Entry) Message() *wasabistandv1.HistoryEntry {
+	return &wasabistandv1.HistoryEntry{
+		Revision: e.Revision, Kind: e.Kind, Operator: e.Operator,
+		AcceptedUnixMs: e.AcceptedUnixMs, Comment: e.Comment, Instance: e.Instance,
+	}
+}
+
+// revision is an entry with the document in force after it. Entries share
+// documents.
+type revision struct {
+	entry            Entry
+	documentRevision uint64
+	toml             string
+}
+
+type configuration struct {
+	revision         uint64
+	documentRevision uint64
+	toml             string
+	// adopts is true once revisions come from the root group.
+	adopts  bool
+	drained map[string]bool
+	history fifo[revision]
+	// bytes counts documents and comments in history, each document once.
+	bytes int
+}
+
+func newConfiguration() configuration {
+	return configuration{drained: make(map[string]bool)}
+}
+
+// Revision returns the latest revision, 0 before the first.
+func (m *Machine) Revision() uint64 { return m.configuration.revision }
+
+// Document returns the latest document.
+func (m *Machine) Document() Document {
+	c := &m.configuration
+	return Document{Revision: c.revision, DocumentRevision: c.documentRevision, TOML: c.toml}
+}
+
+// Configuration returns the document as of a revision, 0 for the latest, and
+// whether it is known. A revision that is no longer kept is not.
+func (m *Machine) Configuration(revision uint64) (Document, bool) {
+	c := &m.configuration
+	if revision == 0 || revision == c.revision {
+		return m.Document(), c.revision != 0
+	}
+	// Revisions in a home group may skip numbers.
+	for i := c.history.len() - 1; i >= 0; i-- {
+		if r := c.history.at(i); r.entry.Revision == revision {
+			return Document{Revision: revision, DocumentRevision: r.documentRevision, TOML: r.toml}, true
+		}
+	}
+	return Document{}, false
+}
+
+// History returns at most limit entries of revisions below before, newest
+// first. before 0 means from the latest.
+func (m *Machine) History(limit int, before uint64) []Entry {
+	var list []Entry
+	h := &m.configuration.history
+	for i := h.len() - 1; i >= 0 && len(list) < limit; i-- {
+		if e := h.at(i).entry; before == 0 || e.Revision < before {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// Drained returns the names of drained instances, sorted.
+func (m *Machine) Drained() []string {
+	return slices.Sorted(maps.Keys(m.configuration.drained))
+}
+
+// Adopts reports whether the revisions come from the root group.
+func (m *Machine) Adopts() bool { return m.configuration.adopts }
+
+// add appends an entry for the current revision and drops the oldest ones
+// beyond the bounds.
+func (c *configuration) add(e Entry, o Options) {
+	r := revision{entry: e, documentRevision: c.documentRevision, toml: c.toml}
+	c.bytes += r.size()
+	if n := c.history.len(); n == 0 || c.history.at(n-1).documentRevision != r.documentRevision {
+		c.bytes += len(r.toml)
+	}
+	c.history.push(r)
+	for c.history.len() > 1 && (c.history.len() > o.maxRevisions || c.bytes > o.maxRevisionBytes) {
+		old := c.history.pop()
+		c.bytes -= old.size()
+		if c.history.at(0).documentRevision != old.documentRevision {
+			c.bytes -= len(old.toml)
+		}
+	}
+}
+
+func (r revision) size() int {
+	return len(r.entry.Comment) + len(r.entry.Operator) + len(r.entry.Instance)
+}
+
+func (m *Machine) apply(c *wasabistandv1.ApplyCommand) any {
+	for _, err := range []error{
+		checkText("toml", c.GetToml(), 1, maxDocumentBytes),
+		checkText("operator", c.GetOperator(), 0, maxNameBytes),
+		checkText("comment", c.GetComment(), 0, maxCommentBytes),
+	} {
+		if err != nil {
+			return InvalidResult{Err: err}
+		}
+	}
+	return m.once(c.GetCommand(), applyContent(c), func() any {
+		s := &m.configuration
+		if s.adopts {
+			return RefusedResult{Reason: "this group adopts its configuration from the root group"}
+		}
+		if c.GetExpectedRevision() != s.revision {
+			r := ConflictResult{Expected: c.GetExpectedRevision(), Latest: s.revision}
+			if n := s.history.len(); n > 0 {
+				winner := s.history.at(n - 1).entry
+				r.Winner, r.WonUnixMs = winner.Operator, winner.AcceptedUnixMs
+			}
+			return r
+		}
+		s.revision++
+		s.documentRevision, s.toml = s.revision, c.GetToml()
+		s.add(Entry{Revision: s.revision, Kind: KindApply, Operator: c.GetOperator(), AcceptedUnixMs: m.now, Comment: c.GetComment()}, m.options)
+		return AppliedResult{Revision: s.revision, Changed: true}
+	})
+}
+
+func (m *Machine) drain(c *wasabistandv1.DrainCommand) any {
+	for _, err := range []error{
+		checkText("instance", c.GetInstance(), 1, maxNameBytes),
+		checkText("operator", c.GetOperator(), 0, maxNameBytes),
+		checkText("comment", c.GetComment(), 0, maxCommentBytes),
+	} {
+		if err != nil {
+			return InvalidResult{Err: err}
+		}
+	}
+	return m.once(c.GetCommand(), drainContent(c), func() any {
+		s := &m.configuration
+		if s.adopts {
+			return RefusedResult{Reason: "this group adopts its configuration from the root group"}
+		}
+		if s.drained[c.GetInstance()] == c.GetDrained() {
+			return AppliedResult{Revision: s.revision}
+		}
+		kind := KindUndrain
+		if c.GetDrained() {
+			if len(s.drained) >= m.options.maxDrained {
+				return RefusedResult{Reason: "too many drained instances"}
+			}
+			kind = KindDrain
+			s.drained[c.GetInstance()] = true
+		} else {
+			delete(s.drained, c.GetInstance())
+		}
+		s.revision++
+		s.add(Entry{
+			Revision: s.revision, Kind: kind, Operator: c.GetOperator(),
+			AcceptedUnixMs: m.now, Comment: c.GetComment(), Instance: c.GetInstance(),
+		}, m.options)
+		return AppliedResult{Revision: s.revision, Changed: true}
+	})
+}
+
+// adopt takes over a revision of the root group. An empty document means that
+// it did not change.
+func (m *Machine) adopt(c *wasabistandv1.AdoptCommand) any {
+	s := &m.configuration
+	if !s.adopts && s.revision > 0 {
+		return RefusedResult{Reason: "this group makes its own revisions"}
+	}
+	if c.GetRevision() <= s.revision {
+		return AdoptedResult{Revision: s.revision}
+	}
+	toml, err := s.adopted(c, m.options)
+	if err != nil {
+		return InvalidResult{Err: err}
+	}
+	s.adopts = true
+	s.revision, s.documentRevision, s.toml = c.GetRevision(), c.GetDocumentRevision(), toml
+	clear(s.drained)
+	for _, i := range c.GetDrained() {
+		s.drained[i] = true
+	}
+	s.add(Entry{Revision: s.revision, Kind: KindAdopt, AcceptedUnixMs: m.now}, m.options)
+	return AdoptedResult{Revision: s.revision, Adopted: true}
+}
+
+// adopted checks an adopted revision and returns its document.
+func (c *configuration) adopted(a *wasabistandv1.AdoptCommand, o Options) (string, error) {
+	d := a.GetDocumentRevision()
+	if d < c.documentRevision || d > a.GetRevision() {
+		return "", wasabistand.ErrInvalid.New("document_revision: %d, allowed are %d to %d", d, c.documentRevision, a.GetRevision())
+	}
+	if len(a.GetDrained()) > o.maxDrained {
+		return "", wasabistand.ErrInvalid.New("drained: %d, allowed are at most %d", len(a.GetDrained()), o.maxDrained)
+	}
+	for _, i := range a.GetDrained() {
+		if err := checkText("drained", i, 1, maxNameBytes); err != nil {
+			return "", err
+		}
+	}
+	if d == c.documentRevision {
+		if t := a.GetToml(); t != "" && t != c.toml {
+			return "", wasabistand.ErrInvalid.New("toml: document %d is known with another content", d)
+		}
+		return c.toml, nil
+	}
+	return a.GetToml(), checkText("toml", a.GetToml(), 1, maxDocumentBytes)
+}
--- /dev/null
+++ b/wasabistate/machine.go
@@ -0,0 +1,149 @@
+package wasabistate
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wasabistand/wasabistand"
+	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
+)
+
+// Machine is the replicated state. Its owner calls it from one goroutine.
+type Machine struct {
+	options       Options
+	limits        Limits
+	now           int64 // latest time of a command, in milliseconds
+	configuration configuration
+	identities    identities
+	claims        claims
+}
+
+var _ wasabistand.StateMachine = (*Machine)(nil)
+
+// New returns an empty machine.
+func New(o Options) *Machine {
+	return &Machine{
+		options:       o,
+		limits:        o.limits,
+		configuration: newConfiguration(),
+		identities:    newIdentities(),
+		claims:        newClaims(),
+	}
+}
+
+// String names the implementation.
+func (m *Machine) String() string {
+	return fmt.Sprintf("state(revision %d, %d claims)", m.configuration.revision, m.claims.count())
+}
+
+// Now returns the latest time that a command carried.
+func (m *Machine) Now() time.Time { return time.UnixMilli(m.now) }
+
+// Limits returns the limits in force.
+func (m *Machine) Limits() Limits { return m.limits }
+
+// Apply executes a StateCommand. The result is one of this package's Result
+// types.
+func (m *Machine) Apply(_ uint64, command []byte) any {
+	var c wasabistandv1.StateCommand
+	if err := proto.Unmarshal(command, &c); err != nil {
+		return InvalidResult{Err: wasabistand.ErrInvalid.New("command: %v", err)}
+	}
+	// Leaders' clocks differ; time that went back would let a claim that was
+	// already read as unknown read as held again.
+	m.now = max(m.now, c.GetProposedUnixMs())
+	m.identities.expire(m.now, m.options)
+	m.claims.collect(m.now, m.limits)
+	switch k := c.GetKind().(type) {
+	case *wasabistandv1.StateCommand_Apply:
+		return m.apply(k.Apply)
+	case *wasabistandv1.StateCommand_Drain:
+		return m.drain(k.Drain)
+	case *wasabistandv1.StateCommand_Adopt:
+		return m.adopt(k.Adopt)
+	case *wasabistandv1.StateCommand_ClaimTake:
+		return m.take(k.ClaimTake)
+	case *wasabistandv1.StateCommand_ClaimSettle:
+		return m.settle(k.ClaimSettle)
+	case *wasabistandv1.StateCommand_Claims:
+		return m.batch(k.Claims)
+	case *wasabistandv1.StateCommand_Limits:
+		return m.setLimits(k.Limits)
+	default:
+		return TickResult{}
+	}
+}
+
+func (m *Machine) setLimits(c *wasabistandv1.LimitsCommand) any {
+	l, err := toLimits(c)
+	if err != nil {
+		return InvalidResult{Err: err}
+	}
+	m.limits = l
+	return LimitsResult{Limits: l}
+}
+
+func toLimits(c *wasabistandv1.LimitsCommand) (Limits, error) {
+	// Values are clamped before the conversion, so that none wraps around
+	// into the allowed range.
+	l := Limits{
+		ClaimRetention: time.Duration(min(max(c.GetClaimRetentionMs(), -1), 1<<40)) * time.Millisecond,
+		ClaimEntries:   int(min(c.GetClaimEntries(), 1<<40)),
+		AnswerBytes:    int64(min(c.GetAnswerBytes(), 1<<60)),
+	}
+	return l, l.check()
+}
+
+func fromLimits(l Limits) *wasabistandv1.LimitsCommand {
+	return &wasabistandv1.LimitsCommand{
+		ClaimRetentionMs: l.ClaimRetention.Milliseconds(),
+		ClaimEntries:     uint64(l.ClaimEntries),
+		AnswerBytes:      uint64(l.AnswerBytes),
+	}
+}
+
+func checkText(name, value string, least, most int) error {
+	if len(value) < least || len(value) > most {
+		return wasabistand.ErrInvalid.New("%s: %d bytes, allowed are %d to %d", name, len(value), least, most)
+	}
+	return nil
+}
+
+// digest hashes fields with their lengths, so that no two lists of fields
+// have the same input.
+func digest(fields ...string) [32]byte {
+	var buffer [512]byte
+	b := buffer[:0]
+	for _, f := range fields {
+		b = binary.AppendUvarint(b, uint64(len(f)))
+		b = append(b, f...)
+	}
+	return sha256.Sum256(b)
+}
+
+// fifo is a queue whose operations take constant time on average.
+type fifo[T any] struct {
+	items []T
+	head  int
+}
+
+func (q *fifo[T]) len() int     { return len(q.items) - q.head }
+func (q *fifo[T]) at(i int) T   { return q.items[q.head+i] }
+func (q *fifo[T]) push(value T) { q.items = append(q.items, value) }
+
+func (q *fifo[T]) pop() T {
+	var zero T
+	value := q.items[q.head]
+	q.items[q.head] = zero
+	q.head++
+	if q.head > len(q.items)/2 {
+		n := copy(q.items, q.items[q.head:])
+		clear(q.items[n:])
+		q.items, q.head = q.items[:n], 0
+	}
+	return value
+}
--- /dev/null
+++ b/wasabistate/snapshot.go
@@ -0,0 +1,239 @@
+package wasabistate
+
+import (
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+
+	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
+)
+
+const snapshotVersion = 1
+
+// claimsField is the number of StateSnapshot.claims.
+const claimsField = 12
+
+// Snapshot returns the state as a StateSnapshot. Equal states have equal bytes.
+func (m *Machine) Snapshot() ([]byte, error) {
+	s := &wasabistandv1.StateSnapshot{
+		Version:          snapshotVersion,
+		NowUnixMs:        m.now,
+		Limits:           fromLimits(m.limits),
+		Revision:         m.configuration.revision,
+		DocumentRevision: m.configuration.documentRevision,
+		Adopts:           m.configuration.adopts,
+		Drained:          m.Drained(),
+		ForgottenUnixMs:  m.identities.forgotten,
+	}
+	h := &m.configuration.history
+	for i := range h.len() {
+		r := h.at(i)
+		e := &wasabistandv1.SnapshotRevision{Entry: r.entry.Message(), DocumentRevision: r.documentRevision}
+		if i == 0 || h.at(i-1).documentRevision != r.documentRevision {
+			e.Toml = r.toml
+		}
+		s.Revisions = append(s.Revisions, e)
+	}
+	for i := range m.identities.queue.len() {
+		s.Identities = append(s.Identities, fromIdentity(m.identities.queue.at(i)))
+	}
+	numbers := make(map[*owner]uint32, len(m.claims.owners))
+	m.claims.each(func(c *claim) {
+		if _, ok := numbers[c.owner]; !ok {
+			numbers[c.owner] = uint32(len(s.Owners))
+			s.Owners = append(s.Owners, &wasabistandv1.SnapshotOwner{Instance: c.owner.instance, Incarnation: c.owner.incarnation})
+		}
+	})
+	options := proto.MarshalOptions{Deterministic: true}
+	b, err := options.Marshal(s)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	// Claims are appended one by one: a message with all of them would double
+	// the memory of a large table.
+	message := &wasabistandv1.SnapshotClaim{}
+	var scratch []byte
+	m.claims.each(func(c *claim) {
+		if err != nil {
+			return
+		}
+		fillClaim(message, c, numbers[c.owner])
+		if scratch, err = options.MarshalAppend(scratch[:0], message); err == nil {
+			b = protowire.AppendTag(b, claimsField, protowire.BytesType)
+			b = protowire.AppendBytes(b, scratch)
+		}
+	})
+	return b, Error.Wrap(err)
+}
+
+func (s *claims) each(f func(c *claim)) {
+	for c := s.queue.next; c != s.queue; c = c.next {
+		f(c)
+	}
+}
+
+func fillClaim(message *wasabistandv1.SnapshotClaim, c *claim, owner uint32) {
+	message.Key, message.Fingerprint = c.key[:], c.fingerprint[:]
+	message.Owner, message.Call = owner, c.call
+	message.DeadlineUnixMs, message.QueuedUnixMs, message.ForgetUnixMs = c.deadline, c.queued, c.forget
+	message.State = wasabistandv1.SnapshotClaim_State(c.state)
+	message.Answer, message.AnswerDigest = nil, nil
+	if c.answer != nil {
+		message.Answer, message.AnswerDigest = c.answer.message, c.answer.digest[:]
+	}
+}
+
+func fromIdentity(i *identity) *wasabistandv1.SnapshotIdentity {
+	e := &wasabistandv1.SnapshotIdentity{
+		Command:        &wasabistandv1.CommandIdentity{Id: i.id, IssuedUnixMs: i.issued},
+		AcceptedUnixMs: i.accepted,
+		Content:        i.content[:],
+	}
+	switch r := i.result.(type) {
+	case AppliedResult:
+		e.Result = &wasabistandv1.SnapshotIdentity_AppliedRevision{AppliedRevision: r.Revision}
+		e.Changed = r.Changed
+	case ConflictResult:
+		e.Result = &wasabistandv1.SnapshotIdentity_Conflict{Conflict: r.Message()}
+	case RefusedResult:
+		e.Result = &wasabistandv1.SnapshotIdentity_Refused{Refused: r.Reason}
+	}
+	return e
+}
+
+func toIdentity(e *wasabistandv1.SnapshotIdentity) (*identity, error) {
+	i := &identity{id: e.GetCommand().GetId(), issued: e.GetCommand().GetIssuedUnixMs(), accepted: e.GetAcceptedUnixMs()}
+	if copy(i.content[:], e.GetContent()) != len(i.content) {
+		return nil, Error.New("snapshot: identity %q: content has %d bytes, allowed are 32", i.id, len(e.GetContent()))
+	}
+	switch r := e.GetResult().(type) {
+	case *wasabistandv1.SnapshotIdentity_AppliedRevision:
+		i.result = AppliedResult{Revision: r.AppliedRevision, Changed: e.GetChanged()}
+	case *wasabistandv1.SnapshotIdentity_Conflict:
+		c := r.Conflict
+		i.result = ConflictResult{Expected: c.GetExpectedRevision(), Latest: c.GetLatestRevision(), Winner: c.GetWinner(), WonUnixMs: c.GetWonUnixMs()}
+	case *wasabistandv1.SnapshotIdentity_Refused:
+		i.result = RefusedResult{Reason: r.Refused}
+	default:
+		return nil, Error.New("snapshot: identity %q has no result", i.id)
+	}
+	return i, nil
+}
+
+// Restore replaces the state by a snapshot. After an error the state is as
+// before. An empty snapshot is the state of a new machine.
+func (m *Machine) Restore(snapshot []byte) error {
+	restored := New(m.options)
+	if len(snapshot) > 0 {
+		if err := restored.restore(snapshot); err != nil {
+			return err
+		}
+	}
+	*m = *restored
+	return nil
+}
+
+func (m *Machine) restore(snapshot []byte) error {
+	header, list, err := splitClaims(snapshot)
+	if err != nil {
+		return err
+	}
+	var s wasabistandv1.StateSnapshot
+	if err := proto.Unmarshal(header, &s); err != nil {
+		return Error.New("snapshot: %v", err)
+	}
+	if v := s.GetVersion(); v != snapshotVersion {
+		return Error.New("snapshot: version %d, allowed is %d", v, snapshotVersion)
+	}
+	if m.limits, err = toLimits(s.GetLimits()); err != nil {
+		return Error.Wrap(err)
+	}
+	m.now = s.GetNowUnixMs()
+	m.restoreConfiguration(&s)
+	m.identities.forgotten = s.GetForgottenUnixMs()
+	for _, e := range s.GetIdentities() {
+		i, err := toIdentity(e)
+		if err != nil {
+			return err
+		}
+		m.identities.byID[i.id] = i
+		m.identities.queue.push(i)
+	}
+	for _, b := range list {
+		if err := m.restoreClaim(b, s.GetOwners()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (m *Machine) restoreConfiguration(s *wasabistandv1.StateSnapshot) {
+	c := &m.configuration
+	c.adopts = s.GetAdopts()
+	for _, i := range s.GetDrained() {
+		c.drained[i] = true
+	}
+	// Entries are added without bounds: those that were kept stay kept.
+	unbounded := m.options.WithRevisions(len(s.GetRevisions())+1, 1<<62)
+	for _, r := range s.GetRevisions() {
+		if c.history.len() == 0 || r.GetDocumentRevision() != c.documentRevision {
+			c.documentRevision, c.toml = r.GetDocumentRevision(), r.GetToml()
+		}
+		e := r.GetEntry()
+		c.add(Entry{
+			Revision: e.GetRevision(), Kind: e.GetKind(), Operator: e.GetOperator(),
+			AcceptedUnixMs: e.GetAcceptedUnixMs(), Comment: e.GetComment(), Instance: e.GetInstance(),
+		}, unbounded)
+	}
+	c.revision, c.documentRevision = s.GetRevision(), s.GetDocumentRevision()
+}
+
+func (m *Machine) restoreClaim(b []byte, owners []*wasabistandv1.SnapshotOwner) error {
+	var e wasabistandv1.SnapshotClaim
+	if err := proto.Unmarshal(b, &e); err != nil {
+		return Error.New("snapshot: claim: %v", err)
+	}
+	state := claimState(e.GetState())
+	if len(e.GetKey()) != 32 || len(e.GetFingerprint()) != 32 || int64(e.GetOwner()) >= int64(len(owners)) || state < claimHeld || state >= claimStates {
+		return Error.New("snapshot: claim %x is malformed", e.GetKey())
+	}
+	o := owners[e.GetOwner()]
+	c := &claim{
+		key: [32]byte(e.GetKey()), fingerprint: [32]byte(e.GetFingerprint()),
+		owner: m.claims.acquire(ownerKey{o.GetInstance(), o.GetIncarnation()}), call: e.GetCall(),
+		deadline: e.GetDeadlineUnixMs(), queued: e.GetQueuedUnixMs(), forget: e.GetForgetUnixMs(), state: state,
+	}
+	if state == claimDone || state == claimDoneLarge {
+		if len(e.GetAnswerDigest()) != 16 {
+			return Error.New("snapshot: claim %x has no answer digest", e.GetKey())
+		}
+		c.answer = &answer{digest: [16]byte(e.GetAnswerDigest()), message: e.GetAnswer()}
+	}
+	if m.claims.byKey[[16]byte(c.key[:])] != nil {
+		return Error.New("snapshot: claim %x occurs twice", e.GetKey())
+	}
+	m.claims.insert(c)
+	return nil
+}
+
+// splitClaims separates the encoded claims from the rest of a snapshot, so
+// that they are decoded one at a time.
+func splitClaims(b []byte) (header []byte, list [][]byte, err error) {
+	for len(b) > 0 {
+		number, kind, n := protowire.ConsumeTag(b)
+		if n < 0 {
+			return nil, nil, Error.New("snapshot: %v", protowire.ParseError(n))
+		}
+		size := protowire.ConsumeFieldValue(number, kind, b[n:])
+		if size < 0 {
+			return nil, nil, Error.New("snapshot: %v", protowire.ParseError(size))
+		}
+		if number == claimsField && kind == protowire.BytesType {
+			value, _ := protowire.ConsumeBytes(b[n:])
+			list = append(list, value)
+		} else {
+			header = append(header, b[:n+size]...)
+		}
+		b = b[n+size:]
+	}
+	return header, list, nil
+}
