--- /dev/null
+++ b/wasabidisk/folder.go
@@ -0,0 +1,247 @@
+// Package wasabidisk keeps the logs and snapshots of replicated groups in one
+// data folder. What a method reports as written was synced. It does not decide
+// what is written, nor what a replica does after a failure.
+//
+// The folder contains:
+//
+//	lock                       held with flock while a process uses the folder
+//	identity                   cluster name, format version, storage identity
+//	groups/<group>/log-<n>     segments of the log, numbered from 1
+//	groups/<group>/snapshot-<index>
+//
+// A copy of a folder must be whole: a missing file or segment is refused. A
+// copy that lacks only the end of the last segment can't be told from a crash,
+// so a folder that was copied while in use must not be started.
+package wasabidisk
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Identity says whose data a folder holds.
+type Identity struct {
+	// Cluster is the name of the cluster.
+	Cluster string
+	// Format is the version of the folder's layout.
+	Format int
+	// Storage is random and made once with the folder, so that a replaced
+	// disk is told from the one before it.
+	Storage string
+	// Groups are the groups whose first segment is durable.
+	Groups []string
+}
+
+// Folder is a locked data folder. It is safe for concurrent use.
+type Folder struct {
+	fs       FS
+	path     string
+	lock     io.Closer
+	mu       sync.Mutex
+	identity Identity
+	stores   map[string]*Store
+	closed   bool
+}
+
+// Open locks the data folder at path and checks that it belongs to the
+// cluster. A folder that does not exist or is empty is made.
+func Open(f FS, path, cluster string) (*Folder, error) {
+	if cluster == "" {
+		return nil, Error.New("cluster name is empty")
+	}
+	if err := f.MkdirAll(filepath.Join(path, "groups")); err != nil {
+		return nil, classify(err)
+	}
+	lock, err := f.Lock(filepath.Join(path, "lock"))
+	if err != nil {
+		if ErrLocked.Has(err) {
+			return nil, err
+		}
+		return nil, classify(err)
+	}
+	d := &Folder{fs: f, path: path, lock: lock, stores: map[string]*Store{}}
+	if err := d.load(cluster); err != nil {
+		return nil, errors.Join(err, lock.Close())
+	}
+	return d, nil
+}
+
+func (d *Folder) load(cluster string) error {
+	name := filepath.Join(d.path, "identity")
+	b, err := d.fs.ReadFile(name)
+	if errors.Is(err, fs.ErrNotExist) {
+		groups, err := d.fs.ReadDir(filepath.Join(d.path, "groups"))
+		if err != nil {
+			return classify(err)
+		}
+		if len(groups) > 0 {
+			return ErrIncomplete.New("%s is missing but groups exist: %s", name, strings.Join(groups, ", "))
+		}
+		var random [16]byte
+		if _, err := rand.Read(random[:]); err != nil {
+			return Error.Wrap(err)
+		}
+		return d.writeIdentity(Identity{Cluster: cluster, Format: Version, Storage: hex.EncodeToString(random[:])})
+	}
+	if err != nil {
+		return classify(err)
+	}
+	if len(b) == 0 {
+		return ErrIncomplete.New("%s is empty", name)
+	}
+	r, version, ok := parseRecord(b)
+	switch {
+	case !ok:
+		return corrupt(name, 0, "checksum does not match")
+	case version > Version:
+		return ErrNewerFormat.New("%s has format %d: this release reads up to %d", name, version, Version)
+	case r.kind != kindIdentity:
+		return corrupt(name, 0, "record kind %d is not an identity", r.kind)
+	}
+	var id Identity
+	if err := toml.Unmarshal(r.body, &id); err != nil {
+		return corrupt(name, 0, "%v", err)
+	}
+	if id.Format > Version {
+		return ErrNewerFormat.New("%s has format %d: this release reads up to %d", name, id.Format, Version)
+	}
+	if id.Cluster != cluster {
+		return ErrOtherCluster.New("%s names cluster %q: expected %q", name, id.Cluster, cluster)
+	}
+	if id.Storage == "" {
+		return corrupt(name, 0, "no storage identity")
+	}
+	d.identity = id
+	return nil
+}
+
+func (d *Folder) writeIdentity(id Identity) error {
+	text, err := toml.Marshal(id)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	b, err := appendBytes(nil, kindIdentity, 0, text)
+	if err != nil {
+		return err
+	}
+	if err := writeFile(d.fs, d.path, "identity", b); err != nil {
+		return err
+	}
+	d.identity = id
+	return nil
+}
+
+// writeFile replaces a file so that after a crash either the old or the new
+// contents are there.
+func writeFile(f FS, path, name string, parts ...[]byte) error {
+	temporary := filepath.Join(path, name+".tmp")
+	w, err := f.OpenFile(temporary, os.O_WRONLY|os.O_CREATE|os.O_TRUNC|os.O_APPEND)
+	if err != nil {
+		return classify(err)
+	}
+	for _, b := range parts {
+		if _, err := w.Write(b); err != nil {
+			_ = w.Close()
+			_ = f.Remove(temporary)
+			return classify(err)
+		}
+	}
+	if err := w.Sync(); err != nil {
+		_ = w.Close()
+		_ = f.Remove(temporary)
+		return ErrFailed.Wrap(err)
+	}
+	if err := w.Close(); err != nil {
+		return ErrFailed.Wrap(err)
+	}
+	if err := f.Rename(temporary, filepath.Join(path, name)); err != nil {
+		return classify(err)
+	}
+	if err := f.SyncDir(path); err != nil {
+		return ErrFailed.Wrap(err)
+	}
+	return nil
+}
+
+// Identity returns whose data the folder holds.
+func (d *Folder) Identity() Identity {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	id := d.identity
+	id.Groups = slices.Clone(id.Groups)
+	return id
+}
+
+// Group opens the store of one group, which is made when it is new. The name
+// consists of 1 to 64 letters, digits, "-" and "_".
+func (d *Folder) Group(name string, o Options) (*Store, error) {
+	if !validGroup(name) {
+		return nil, Error.New("group name %q: allowed are 1 to 64 letters, digits, - and _", name)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed {
+		return nil, ErrClosed.New("%s", d.path)
+	}
+	if _, ok := d.stores[name]; ok {
+		return nil, ErrLocked.New("group %s is open already", name)
+	}
+	listed := slices.Contains(d.identity.Groups, name)
+	s, err := openStore(d.fs, filepath.Join(d.path, "groups", name), name, listed, o)
+	if err != nil {
+		return nil, err
+	}
+	if !listed {
+		id := d.identity
+		id.Groups = append(slices.Clone(id.Groups), name)
+		if err := d.writeIdentity(id); err != nil {
+			return nil, errors.Join(err, s.Close())
+		}
+	}
+	s.onClose = func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		delete(d.stores, name)
+	}
+	d.stores[name] = s
+	return s, nil
+}
+
+func validGroup(name string) bool {
+	return name != "" && len(name) <= 64 && strings.IndexFunc(name, func(r rune) bool {
+		return (r < 'a' || r > 'z') && (r < 'A' || r > 'Z') && (r < '0' || r > '9') && r != '-' && r != '_'
+	}) < 0
+}
+
+// Close closes all stores and unlocks the folder.
+func (d *Folder) Close() error {
+	d.mu.Lock()
+	if d.closed {
+		d.mu.Unlock()
+		return nil
+	}
+	d.closed = true
+	list := make([]*Store, 0, len(d.stores))
+	for _, s := range d.stores {
+		list = append(list, s)
+	}
+	d.mu.Unlock()
+	var all error
+	for _, s := range list {
+		all = errors.Join(all, s.Close())
+	}
+	return errors.Join(all, d.lock.Close())
+}
+
+// String names the implementation.
+func (d *Folder) String() string { return "segments" }
--- /dev/null
+++ b/wasabidisk/fs.go
@@ -0,0 +1,100 @@
+package wasabidisk
+
+import (
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+
+	"golang.org/x/sys/unix"
+)
+
+// FS is what the store needs of a file system.
+type FS interface {
+	MkdirAll(path string) error
+	// OpenFile takes the flags of package os. Files opened for writing are
+	// opened with os.O_APPEND.
+	OpenFile(name string, flag int) (File, error)
+	ReadFile(name string) ([]byte, error)
+	// ReadDir returns the sorted names in a folder.
+	ReadDir(path string) ([]string, error)
+	Rename(from, to string) error
+	Remove(name string) error
+	// SyncDir makes created, renamed and removed names in a folder durable.
+	SyncDir(path string) error
+	// Lock takes an exclusive lock that ends with the process. It returns an
+	// error of class ErrLocked when another process holds it.
+	Lock(name string) (io.Closer, error)
+}
+
+// File is an open file that is only appended to.
+type File interface {
+	io.WriteCloser
+	Sync() error
+	Truncate(size int64) error
+}
+
+// OS is the operating system's file system.
+type OS struct{}
+
+// MkdirAll creates a folder and its parents.
+func (OS) MkdirAll(path string) error { return os.MkdirAll(path, 0o750) }
+
+// OpenFile opens a file.
+func (OS) OpenFile(name string, flag int) (File, error) {
+	f, err := os.OpenFile(name, flag, 0o640)
+	if err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+// ReadFile returns a file's contents.
+func (OS) ReadFile(name string) ([]byte, error) { return os.ReadFile(name) }
+
+// ReadDir returns the sorted names in a folder.
+func (OS) ReadDir(path string) ([]string, error) {
+	list, err := os.ReadDir(path)
+	if err != nil {
+		return nil, err
+	}
+	names := make([]string, len(list))
+	for i, e := range list {
+		names[i] = e.Name()
+	}
+	return names, nil
+}
+
+// Rename replaces to by from.
+func (OS) Rename(from, to string) error { return os.Rename(from, to) }
+
+// Remove removes a file.
+func (OS) Remove(name string) error { return os.Remove(name) }
+
+// SyncDir syncs a folder.
+func (OS) SyncDir(path string) error {
+	f, err := os.Open(filepath.Clean(path))
+	if err != nil {
+		return err
+	}
+	return errors.Join(f.Sync(), f.Close())
+}
+
+// Lock locks a file with flock.
+func (OS) Lock(name string) (io.Closer, error) {
+	f, err := os.OpenFile(name, os.O_RDWR|os.O_CREATE, 0o640)
+	if err != nil {
+		return nil, err
+	}
+	if err := unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
+		_ = f.Close()
+		if errors.Is(err, unix.EWOULDBLOCK) {
+			return nil, ErrLocked.New("%s: another process uses this data folder", name)
+		}
+		return nil, err
+	}
+	return f, nil
+}
+
+// String names the implementation.
+func (OS) String() string { return "os" }
--- /dev/null
+++ b/wasabidisk/replay.go
@@ -0,0 +1,184 @@
+package wasabidisk
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
+)
+
+const segmentPrefix = "log-"
+
+func segmentName(sequence uint64) string { return fmt.Sprintf("%s%016x", segmentPrefix, sequence) }
+
+func segmentSequence(name string) (uint64, bool) {
+	text, ok := strings.CutPrefix(name, segmentPrefix)
+	if !ok || len(text) != 16 {
+		return 0, false
+	}
+	n, err := strconv.ParseUint(text, 16, 64)
+	return n, err == nil && n > 0
+}
+
+// segment is what is known of one file of the log.
+type segment struct {
+	sequence uint64
+	// maxIndex is the highest entry index in the file.
+	maxIndex uint64
+	size     int64
+	sealed   bool
+	// data says that records follow the header batch.
+	data bool
+	// torn is set when the file ends in an incomplete batch.
+	torn *TornTail
+}
+
+// position names an entry.
+type position struct{ index, term uint64 }
+
+// replay rebuilds a store's state from its segments.
+type replay struct {
+	path     string
+	group    string
+	snapshot uint64
+	base     position
+	entries  []*wasabistandv1.LogEntry
+	hard     *wasabistandv1.HardState
+	batch    uint64
+	open     bool // the last record was not the end of its batch
+	segments []segment
+}
+
+func (r *replay) last() position {
+	if n := len(r.entries); n > 0 {
+		return position{r.entries[n-1].GetIndex(), r.entries[n-1].GetTerm()}
+	}
+	return r.base
+}
+
+// segment reads one file. Records are applied in order up to the first that
+// is damaged, which ends the log if it can be the remains of a batch that was
+// never synced.
+func (r *replay) segment(sequence uint64, b []byte) error {
+	name := filepath.Join(r.path, segmentName(sequence))
+	g := segment{sequence: sequence, size: int64(len(b))}
+	for offset := 0; offset < len(b); {
+		c, version, ok := parseRecord(b[offset:])
+		if !ok {
+			// The damaged record belongs to the batch before it, or to the next
+			// one when that batch is whole.
+			damaged := r.batch
+			if !r.open {
+				damaged++
+			}
+			if laterBatch(b[offset+1:], damaged) {
+				return corrupt(name, int64(offset), "checksum does not match, and later records are intact")
+			}
+			g.torn = &TornTail{File: name, Offset: int64(offset), Bytes: int64(len(b) - offset)}
+			g.size = int64(offset)
+			break
+		}
+		if version > Version {
+			return ErrNewerFormat.New("%s at offset %d has format %d: this release reads up to %d", name, offset, version, Version)
+		}
+		if (offset == 0) != (c.kind == kindHeader) {
+			return corrupt(name, int64(offset), "record kind %d is out of place", c.kind)
+		}
+		if c.batch < r.batch {
+			return corrupt(name, int64(offset), "batch %d after batch %d", c.batch, r.batch)
+		}
+		if g.sealed {
+			return corrupt(name, int64(offset), "record after the end mark")
+		}
+		if err := r.apply(&g, c); err != nil {
+			if e := new(CorruptError); errors.As(err, &e) {
+				e.File, e.Offset = name, int64(offset)
+			}
+			return err
+		}
+		r.batch, r.open = c.batch, !c.end
+		offset += c.size
+	}
+	r.segments = append(r.segments, g)
+	return nil
+}
+
+func (r *replay) apply(g *segment, c record) error {
+	switch c.kind {
+	case kindHeader:
+		return r.header(g, c.body)
+	case kindEntry:
+		g.data = true
+		e := new(wasabistandv1.LogEntry)
+		if err := proto.Unmarshal(c.body, e); err != nil {
+			return corrupt("", 0, "%v", err)
+		}
+		g.maxIndex = max(g.maxIndex, e.GetIndex())
+		return r.append(e)
+	case kindHardState:
+		h := new(wasabistandv1.HardState)
+		if err := proto.Unmarshal(c.body, h); err != nil {
+			return corrupt("", 0, "%v", err)
+		}
+		r.hard = h
+	case kindReset:
+		g.data = true
+		if len(c.body) != 16 {
+			return corrupt("", 0, "reset of %d bytes", len(c.body))
+		}
+		r.base = position{binary.LittleEndian.Uint64(c.body), binary.LittleEndian.Uint64(c.body[8:])}
+		r.entries = nil
+	case kindSeal:
+		g.sealed = true
+	case kindClosed:
+	default:
+		return corrupt("", 0, "unknown record kind %d", c.kind)
+	}
+	return nil
+}
+
+func (r *replay) header(g *segment, b []byte) error {
+	if len(b) < 24 {
+		return corrupt("", 0, "header of %d bytes", len(b))
+	}
+	sequence := binary.LittleEndian.Uint64(b)
+	base := position{binary.LittleEndian.Uint64(b[8:]), binary.LittleEndian.Uint64(b[16:])}
+	if sequence != g.sequence || string(b[24:]) != r.group {
+		return corrupt("", 0, "header of segment %d of group %q", sequence, b[24:])
+	}
+	if len(r.segments) == 0 {
+		r.base = base
+		return nil
+	}
+	if last := r.last(); last != base {
+		return ErrIncomplete.New("%s: segment %d continues index %d of term %d, but index %d of term %d was found",
+			r.path, sequence, base.index, base.term, last.index, last.term)
+	}
+	return nil
+}
+
+// append adds an entry; it replaces the entries from its index on.
+func (r *replay) append(e *wasabistandv1.LogEntry) error {
+	i := e.GetIndex()
+	switch last := r.last().index; {
+	case i == last+1:
+		r.entries = append(r.entries, e)
+	case i > last+1 || i == 0:
+		return corrupt("", 0, "entry %d after entry %d", i, last)
+	case i > r.base.index:
+		r.entries = append(r.entries[:i-r.base.index-1], e)
+	case i <= r.snapshot:
+		// The segment with the entries that this one replaced was compacted.
+		// The snapshot covers both.
+		r.base, r.entries = position{index: i - 1}, append(r.entries[:0], e)
+	default:
+		return corrupt("", 0, "entry %d replaces entries up to %d that were compacted", i, r.base.index)
+	}
+	return nil
+}
--- /dev/null
+++ b/wasabidisk/store.go
@@ -0,0 +1,402 @@
+package wasabidisk
+
+import (
+	"encoding/binary"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+
+	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
+)
+
+// Options are the settings of a store: an immutable value. The zero value
+// works.
+type Options struct {
+	segmentBytes int64
+}
+
+// WithSegmentBytes returns a copy that starts a new segment once the current
+// one has reached n bytes.
+func (o Options) WithSegmentBytes(n int64) Options {
+	o.segmentBytes = n
+	return o
+}
+
+// defaultSegmentBytes is small enough that compaction frees space soon, and
+// large enough that the three syncs of a new segment are rare.
+const defaultSegmentBytes = 8 << 20
+
+// State is what a store held when it was opened.
+type State struct {
+	// HardState is nil when none was written.
+	HardState *wasabistandv1.HardState
+	// Snapshot is nil when there is none.
+	Snapshot *wasabistandv1.LogSnapshot
+	// Entries follow the snapshot.
+	Entries []*wasabistandv1.LogEntry
+	// Torn is the incomplete batch that was cut off, nil for none. It was
+	// never reported as written.
+	Torn *TornTail
+}
+
+// Empty reports whether nothing was ever written.
+func (s State) Empty() bool { return s.HardState == nil && s.Snapshot == nil && len(s.Entries) == 0 }
+
+// TornTail is an incomplete batch at the end of the log.
+type TornTail struct {
+	File   string
+	Offset int64
+	Bytes  int64
+}
+
+// Store is the log and the snapshots of one group. Save, Reset, Compact and
+// Close belong to one goroutine; SaveSnapshot may run beside them.
+type Store struct {
+	fs      FS
+	path    string
+	group   string
+	options Options
+	state   State
+	onClose func()
+
+	mu     sync.Mutex
+	failed error
+	closed bool
+
+	active   File
+	segments []segment // the last one is active
+	batch    uint64
+	last     position
+	hard     *wasabistandv1.HardState
+	buffer   []byte
+}
+
+// openStore replays a group's files. listed says that the group was recorded
+// in the identity file, so its log must exist.
+func openStore(f FS, path, group string, listed bool, o Options) (*Store, error) {
+	if o.segmentBytes <= 0 {
+		o.segmentBytes = defaultSegmentBytes
+	}
+	if !listed {
+		if err := f.MkdirAll(path); err != nil {
+			return nil, classify(err)
+		}
+		if err := f.SyncDir(filepath.Dir(path)); err != nil {
+			return nil, ErrFailed.Wrap(err)
+		}
+	}
+	names, err := f.ReadDir(path)
+	if err != nil {
+		if listed && errors.Is(err, os.ErrNotExist) {
+			return nil, ErrIncomplete.New("%s is missing", path)
+		}
+		return nil, classify(err)
+	}
+	for _, name := range names {
+		if strings.HasSuffix(name, ".tmp") {
+			if err := f.Remove(filepath.Join(path, name)); err != nil {
+				return nil, classify(err)
+			}
+		}
+	}
+	s := &Store{fs: f, path: path, group: group, options: o}
+	if s.state.Snapshot, err = loadSnapshot(f, path, names); err != nil {
+		return nil, err
+	}
+	r, err := s.read(names, listed)
+	if err != nil {
+		return nil, err
+	}
+	if len(r.segments) == 0 {
+		if listed || s.state.Snapshot != nil {
+			return nil, ErrIncomplete.New("%s contains no log", path)
+		}
+		return s, s.create(1)
+	}
+	if !listed && (s.state.Snapshot != nil || len(r.segments) > 1 || r.segments[0].data) {
+		return nil, ErrIncomplete.New("%s contains data, but the identity file does not name the group", path)
+	}
+	return s, s.adopt(r)
+}
+
+func (s *Store) read(names []string, listed bool) (*replay, error) {
+	r := &replay{path: s.path, group: s.group, snapshot: s.state.Snapshot.GetIndex()}
+	var sequences []uint64
+	for _, name := range names {
+		if n, ok := segmentSequence(name); ok {
+			sequences = append(sequences, n)
+		}
+	}
+	for i, n := range sequences {
+		if n != sequences[0]+uint64(i) {
+			return nil, ErrIncomplete.New("%s is missing", filepath.Join(s.path, segmentName(sequences[0]+uint64(i))))
+		}
+		b, err := s.fs.ReadFile(filepath.Join(s.path, segmentName(n)))
+		if err != nil {
+			return nil, classify(err)
+		}
+		if err := r.segment(n, b); err != nil {
+			return nil, err
+		}
+	}
+	return r, s.check(r, listed)
+}
+
+// check refuses files that no crash can leave behind.
+func (s *Store) check(r *replay, listed bool) error {
+	n := len(r.segments)
+	for i, g := range r.segments {
+		name := filepath.Join(s.path, segmentName(g.sequence))
+		// A new segment is made before the one before it is sealed.
+		rolling := i == n-2 && !r.segments[n-1].data && !r.segments[n-1].sealed
+		switch {
+		case i == n-1 && g.sealed:
+			return ErrIncomplete.New("%s is followed by a segment that is missing", name)
+		case i == n-1 && g.size == 0 && (i > 0 && r.segments[i-1].sealed || i == 0 && listed):
+			return ErrIncomplete.New("%s is empty", name)
+		case i < n-1 && !g.sealed && !rolling && g.torn != nil:
+			return corrupt(name, g.torn.Offset, "the segment is cut off, and another follows")
+		case i < n-1 && !g.sealed && !rolling:
+			return ErrIncomplete.New("%s has no end mark, and another segment follows", name)
+		}
+	}
+	return nil
+}
+
+// adopt connects log and snapshot and makes the last segment ready for
+// writing.
+func (s *Store) adopt(r *replay) error {
+	snap := s.state.Snapshot
+	if r.base.index > snap.GetIndex() {
+		return ErrIncomplete.New("%s: the log starts after index %d, but the latest snapshot is at index %d",
+			s.path, r.base.index, snap.GetIndex())
+	}
+	last := r.last()
+	if h := r.hard; h.GetCommitIndex() > max(last.index, snap.GetIndex()) {
+		return ErrIncomplete.New("%s: index %d was committed, but the log ends at %d", s.path, h.GetCommitIndex(), last.index)
+	}
+	s.state.Entries, s.hard, s.batch, s.last = r.entries, r.hard, r.batch, last
+	reset := false
+	if snap != nil {
+		s.state.Entries, reset = afterSnapshot(r, position{snap.GetIndex(), snap.GetTerm()})
+	}
+	if n := len(s.state.Entries); n > 0 && s.state.Entries[n-1].GetTerm() > r.hard.GetTerm() {
+		// The hard state of the last batch was cut off. A vote in the entry's
+		// term would have been synced in an earlier batch.
+		h := &wasabistandv1.HardState{Term: s.state.Entries[n-1].GetTerm()}
+		if r.hard != nil {
+			h.CommitIndex, h.Bootstrapped, h.Admitted = r.hard.CommitIndex, r.hard.Bootstrapped, r.hard.Admitted
+		}
+		s.hard = h
+	}
+	s.state.HardState = s.hard
+	if err := s.resume(r); err != nil {
+		return err
+	}
+	if reset {
+		return s.reset(position{snap.GetIndex(), snap.GetTerm()})
+	}
+	return nil
+}
+
+// afterSnapshot returns the entries that follow the snapshot. When the log
+// does not contain the snapshot's last entry, a crash came between installing
+// the snapshot and resetting the log.
+func afterSnapshot(r *replay, p position) ([]*wasabistandv1.LogEntry, bool) {
+	if p.index == r.base.index {
+		return r.entries, false
+	}
+	if last := r.last(); last.index < p.index || r.entries[p.index-r.base.index-1].GetTerm() != p.term {
+		return nil, true
+	}
+	return r.entries[p.index-r.base.index:], false
+}
+
+// resume cuts off torn batches and opens the last segment.
+func (s *Store) resume(r *replay) error {
+	s.segments = r.segments
+	for i := range s.segments {
+		g := &s.segments[i]
+		isLast := i == len(s.segments)-1
+		if !isLast && g.sealed && g.torn == nil {
+			continue
+		}
+		f, err := s.fs.OpenFile(filepath.Join(s.path, segmentName(g.sequence)), os.O_WRONLY|os.O_APPEND)
+		if err != nil {
+			return classify(err)
+		}
+		if g.torn != nil {
+			if !isLast || g.size > 0 {
+				s.state.Torn = g.torn
+			}
+			if err := f.Truncate(g.size); err != nil {
+				return errors.Join(classify(err), f.Close())
+			}
+		}
+		s.active = f
+		if g.size == 0 {
+			b, err := s.header(g.sequence)
+			if err != nil {
+				return errors.Join(err, f.Close())
+			}
+			if err := s.write(b); err != nil {
+				return errors.Join(err, f.Close())
+			}
+			continue
+		}
+		if !isLast {
+			err = s.seal(g)
+			if err := errors.Join(err, f.Close()); err != nil {
+				return err
+			}
+			continue
+		}
+		// A process that was killed may have left written bytes unsynced.
+		if err := f.Sync(); err != nil {
+			return errors.Join(s.fail(err), f.Close())
+		}
+	}
+	return nil
+}
+
+// State returns what the store held when it was opened.
+func (s *Store) State() State { return s.state }
+
+// Forget frees the state that the store was opened with.
+func (s *Store) Forget() { s.state = State{Torn: s.state.Torn} }
+
+// Save appends entries, replacing those from the first one's index on, and
+// the hard state unless it is nil, with one sync for all. After ErrFull
+// nothing was written and the same call may be repeated; after any other error
+// the store writes no more.
+func (s *Store) Save(h *wasabistandv1.HardState, entries []*wasabistandv1.LogEntry) error {
+	if err := s.usable(); err != nil {
+		return err
+	}
+	if h == nil && len(entries) == 0 {
+		return nil
+	}
+	if s.segments[len(s.segments)-1].size >= s.options.segmentBytes {
+		if err := s.roll(); err != nil {
+			return err
+		}
+	}
+	b, err := s.buffer[:0], error(nil)
+	last, maxIndex := s.last, uint64(0)
+	// Entries come first, so that a hard state is never durable without the
+	// entries that its commit index counts.
+	for i, e := range entries {
+		if e.GetIndex() == 0 || e.GetIndex() > last.index+1 {
+			return s.fail(Error.New("entry %d after entry %d", e.GetIndex(), last.index))
+		}
+		kind := kindEntry
+		if i == len(entries)-1 && h == nil {
+			kind |= endOfBatch
+		}
+		if b, err = appendMessage(b, kind, s.batch+1, e); err != nil {
+			return s.fail(err)
+		}
+		last = position{e.GetIndex(), e.GetTerm()}
+		maxIndex = max(maxIndex, e.GetIndex())
+	}
+	if h != nil {
+		if b, err = appendMessage(b, kindHardState|endOfBatch, s.batch+1, h); err != nil {
+			return s.fail(err)
+		}
+	}
+	s.buffer = b
+	if cap(s.buffer) > 4<<20 {
+		s.buffer = nil
+	}
+	if err := s.write(b); err != nil {
+		return err
+	}
+	g := &s.segments[len(s.segments)-1]
+	g.data, g.maxIndex, s.last = true, max(g.maxIndex, maxIndex), last
+	if h != nil {
+		s.hard = proto.CloneOf(h)
+	}
+	return nil
+}
+
+func appendMessage(b []byte, kind recordKind, batch uint64, m proto.Message) ([]byte, error) {
+	return appendRecord(b, kind, batch, func(b []byte) ([]byte, error) {
+		return proto.MarshalOptions{}.MarshalAppend(b, m)
+	})
+}
+
+// Reset drops all entries, after a snapshot that the log does not contain was
+// saved.
+func (s *Store) Reset(index, term uint64) error {
+	if err := s.usable(); err != nil {
+		return err
+	}
+	return s.reset(position{index, term})
+}
+
+func (s *Store) reset(p position) error {
+	body := binary.LittleEndian.AppendUint64(nil, p.index)
+	b, err := appendBytes(nil, kindReset|endOfBatch, s.batch+1, binary.LittleEndian.AppendUint64(body, p.term))
+	if err != nil {
+		return err
+	}
+	if err := s.write(b); err != nil {
+		return err
+	}
+	s.last = p
+	// The file must outlive compaction up to the new base.
+	g := &s.segments[len(s.segments)-1]
+	g.data, g.maxIndex = true, max(g.maxIndex, p.index)
+	return nil
+}
+
+// Compact removes segments that only hold entries up to index, which a saved
+// snapshot covers.
+func (s *Store) Compact(index uint64) error {
+	if err := s.usable(); err != nil {
+		return err
+	}
+	for len(s.segments) > 1 && s.segments[0].maxIndex <= index {
+		if err := s.fs.Remove(filepath.Join(s.path, segmentName(s.segments[0].sequence))); err != nil {
+			return s.fail(classify(err))
+		}
+		s.segments = s.segments[1:]
+		// Durable one by one, so that a crash can't leave a gap.
+		if err := s.fs.SyncDir(s.path); err != nil {
+			return s.fail(err)
+		}
+	}
+	return nil
+}
+
+// Close closes the files. The store writes no more.
+func (s *Store) Close() error {
+	err := s.usable()
+	s.mu.Lock()
+	closed := s.closed
+	s.closed = true
+	s.mu.Unlock()
+	if closed {
+		return nil
+	}
+	if err == nil {
+		// With a later batch behind it, damage to the last batch is found.
+		if b, err := appendBytes(nil, kindClosed|endOfBatch, s.batch+1, nil); err == nil {
+			_ = s.write(b)
+		}
+	}
+	if s.onClose != nil {
+		s.onClose()
+	}
+	if s.active == nil {
+		return nil
+	}
+	return Error.Wrap(s.active.Close())
+}
+
+// String names the implementation.
+func (s *Store) String() string { return "segments" }
