--- /dev/null
+++ b/wasabinode/admin.go
@@ -0,0 +1,58 @@
+package wasabinode
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/wasabistand/wasabistand"
+)
+
+// Ready reports whether callers should use the node, and why not.
+func (n *Node) Ready() (bool, string) {
+	switch {
+	case n.state() == wasabistand.Leaving:
+		return false, "leaving"
+	case n.snapshot() == nil:
+		return false, "no configuration is confirmed yet"
+	case n.state() == wasabistand.Cold:
+		return false, "the upstream accepts no connections yet"
+	}
+	return true, "ready"
+}
+
+func (n *Node) adminRoutes() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("live\n")) })
+	m.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		ready, why := n.Ready()
+		if !ready {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		_, _ = w.Write([]byte(why + "\n"))
+	})
+	if n.parts.Gatherer != nil {
+		m.Handle("GET /metrics", promhttp.HandlerFor(n.parts.Gatherer, promhttp.HandlerOpts{}))
+	}
+	for pattern, h := range n.parts.Admin {
+		m.Handle(pattern, h)
+	}
+	return m
+}
+
+// settlePoll is how often a leaving node looks whether all claims are settled.
+const settlePoll = 10 * time.Millisecond
+
+// settled returns once no claim is being settled.
+func (n *Node) settled(ctx context.Context) error {
+	for n.settling.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(settlePoll):
+		}
+	}
+	return nil
+}
