--- /dev/null
+++ b/wasabinode/fakes_test.go
@@ -0,0 +1,228 @@
+package wasabinode_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/wasabistand/wasabistand"
+	"github.com/wasabistand/wasabistand/wasabiadmission"
+	"github.com/wasabistand/wasabistand/wasabievent"
+	"github.com/wasabistand/wasabistand/wasabilevel"
+	"github.com/wasabistand/wasabistand/wasabilimit"
+	"github.com/wasabistand/wasabistand/wasabilink"
+	"github.com/wasabistand/wasabistand/wasabinode"
+	"github.com/wasabistand/wasabistand/wasabiretry"
+	"github.com/wasabistand/wasabistand/wasabiroute"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// directory is control as one process sees it.
+type directory struct {
+	mu      sync.Mutex
+	view    *wasabistand.View
+	changed chan struct{}
+}
+
+func newDirectory() *directory { return &directory{changed: make(chan struct{})} }
+
+func (d *directory) View() *wasabistand.View { d.mu.Lock(); defer d.mu.Unlock(); return d.view }
+func (d *directory) Interest(string)         {}
+func (d *directory) String() string          { return "fake" }
+func (d *directory) Changed() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.changed
+}
+
+func (d *directory) set(v *wasabistand.View) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.view = v
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// claims is a table of claims that never expire.
+type claims struct {
+	mu      sync.Mutex
+	table   map[string]*claimed
+	settled chan wasabistand.Settlement
+}
+
+type claimed struct {
+	claim wasabistand.Claim
+	state wasabistand.ClaimState
+}
+
+func newClaims() *claims {
+	return &claims{table: map[string]*claimed{}, settled: make(chan wasabistand.Settlement, 100)}
+}
+
+func (c *claims) Take(_ context.Context, m wasabistand.Claim) (wasabistand.ClaimState, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := m.Caller + "/" + m.Service + "/" + m.Key
+	e := c.table[k]
+	if e == nil {
+		c.table[k] = &claimed{claim: m, state: wasabistand.ClaimState{Status: wasabistand.ClaimHeld}}
+		return wasabistand.ClaimState{Status: wasabistand.ClaimGranted}, nil
+	}
+	if e.claim.Fingerprint != m.Fingerprint {
+		return wasabistand.ClaimState{Status: wasabistand.ClaimMismatch}, nil
+	}
+	return e.state, nil
+}
+
+func (c *claims) Settle(_ context.Context, m wasabistand.Claim, s wasabistand.Settlement) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := m.Caller + "/" + m.Service + "/" + m.Key
+	switch e := c.table[k]; {
+	case s.Outcome == wasabistand.NotRun:
+		delete(c.table, k)
+	case s.Outcome == wasabistand.Answered:
+		e.state = wasabistand.ClaimState{Status: wasabistand.ClaimAnswered, Answer: s.Answer}
+	default:
+		e.state = wasabistand.ClaimState{Status: wasabistand.ClaimUnknown}
+	}
+	c.settled <- s
+	return nil
+}
+
+func (c *claims) String() string { return "fake" }
+
+// mesh is a set of nodes that know each other.
+type mesh struct {
+	t         *testing.T
+	claims    *claims
+	nodes     []*wasabinode.Node
+	lists     map[string][]wasabistand.Instance
+	dirs      []*directory
+	rings     map[string]*wasabievent.Ring
+	contracts *wasabistand.Contracts
+	client    *http.Client
+	dial      wasabilink.DialFunc
+	settings  func(wasabinode.Settings) wasabinode.Settings
+}
+
+func newMesh(t *testing.T) *mesh {
+	tr := &http.Transport{}
+	m := &mesh{t: t, claims: newClaims(), lists: map[string][]wasabistand.Instance{}, rings: map[string]*wasabievent.Ring{}, client: &http.Client{Transport: tr}, contracts: contracts()}
+	t.Cleanup(tr.CloseIdleConnections)
+	return m
+}
+
+func contracts() *wasabistand.Contracts {
+	calls := []wasabistand.CallContract{
+		{Name: "Read", Method: "GET", Path: "/read/{rest...}", Importance: wasabistand.Normal, Idempotent: true},
+		{Name: "Put", Method: "PUT", Path: "/put", Importance: wasabistand.Normal, Idempotent: true},
+		{Name: "Small", Method: "POST", Path: "/small", Importance: wasabistand.Normal, Idempotent: true, MaxBodyBytes: 100},
+		{Name: "Approve", Method: "POST", Path: "/approve", Importance: wasabistand.High},
+	}
+	c := &wasabistand.Contracts{
+		Services: map[string]wasabistand.Service{},
+		Callers: map[string]wasabistand.Caller{
+			"client":                  {Name: "client", Patience: time.Minute},
+			"greedy":                  {Name: "greedy", Patience: time.Minute, CallsPerSecond: 0.001, Burst: 2},
+			wasabistand.DefaultCaller: {Name: wasabistand.DefaultCaller, Patience: time.Minute},
+		},
+		Retry: wasabistand.RetryContract{PerRequest: 3, SharePercent: 10, MinPerSecond: 100},
+	}
+	for _, s := range []string{"a", "b", "c"} {
+		c.Services[s] = wasabistand.Service{Name: s, Calls: calls, QueueLimit: 10}
+	}
+	return c
+}
+
+// add starts a node beside an upstream that serves h.
+func (m *mesh) add(id, service string, h http.HandlerFunc) *wasabinode.Node {
+	m.t.Helper()
+	up := httptest.NewServer(h)
+	m.t.Cleanup(up.Close)
+	return m.beside(id, service, up.URL)
+}
+
+func (m *mesh) beside(id, service, upstream string) *wasabinode.Node {
+	m.t.Helper()
+	s := wasabinode.NewSettings(id, service, upstream).WithIncarnation(1).WithLeaveTime(0)
+	if m.settings != nil {
+		s = m.settings(s)
+	}
+	link := wasabilink.NewOptions("test", id, 1)
+	if m.dial != nil {
+		link = link.WithDial(m.dial)
+	}
+	clock := wasabievent.NewClock(time.Now)
+	ring := wasabievent.NewRing(id, 1000, clock)
+	d := newDirectory()
+	n, err := wasabinode.New(s, parts(d, m.claims, ring, link))
+	assert.NilError(m.t, err)
+	assert.NilError(m.t, n.Start())
+	m.t.Cleanup(func() { assert.NilError(m.t, n.Close()) })
+	m.nodes, m.dirs, m.rings[id] = append(m.nodes, n), append(m.dirs, d), ring
+	m.lists[service] = append(m.lists[service], n.Announcement().WithState(wasabistand.Ready))
+	return n
+}
+
+func parts(d wasabistand.Directory, c wasabistand.Claims, r wasabistand.Recorder, link wasabilink.Options) wasabinode.Parts {
+	return wasabinode.Parts{
+		Directory: d,
+		Claims:    c,
+		Recorder:  r,
+		Levels:    wasabilevel.New(wasabilevel.NewOptions()),
+		Router: func(l []wasabistand.RegionLink) wasabistand.Router {
+			return wasabiroute.New(rand.New(rand.NewPCG(1, 2)), wasabiroute.NewOptions().WithRegionLinks(l))
+		},
+		Budget: func(c wasabistand.RetryContract) wasabistand.RetryBudget {
+			return wasabiretry.NewBudget(wasabiretry.NewBudgetOptions().WithSharePercent(c.SharePercent).WithMinPerSecond(c.MinPerSecond))
+		},
+		Allowance: func(n int) wasabistand.Allowance { return wasabiretry.NewAllowance(n) },
+		Admission: func(limit int, s wasabistand.Service) wasabistand.Admission {
+			return wasabiadmission.New(wasabiadmission.NewOptions().WithLimit(limit).WithQueueLimit(s.QueueLimit))
+		},
+		Limiter: func(slots int) wasabistand.Limiter { return wasabilimit.New(wasabilimit.NewOptions(slots)) },
+		Link:    link,
+	}
+}
+
+// ready tells all nodes of each other and waits until they are ready.
+func (m *mesh) ready() {
+	for _, d := range m.dirs {
+		d.set(&wasabistand.View{Revision: 1, Contracts: m.contracts, Instances: m.lists})
+	}
+	for _, n := range m.nodes {
+		eventually(m.t, func() bool { ok, _ := n.Ready(); return ok })
+	}
+}
+
+// eventually polls a condition that must come true; only a fault makes it wait
+// for the whole bound.
+func eventually(t *testing.T, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !f(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("condition did not come true")
+		}
+	}
+}
+
+func request(t *testing.T, n *wasabinode.Node, method, service, path string, headers ...string) *http.Request {
+	t.Helper()
+	r, err := http.NewRequest(method, "http://"+n.TrafficAddress()+path, nil)
+	assert.NilError(t, err)
+	r.Header.Set("Wasabi-Service", service)
+	r.Header.Set("Wasabi-Caller", "client")
+	for i := 0; i < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	return r
+}
--- a/wasabinode/node.go
+++ b/wasabinode/node.go
@@ -47,7 +47,7 @@
 	view     atomic.Pointer[view]
 	claimed  atomic.Uint64
 	settling atomic.Int64
-	budgetMu sync.Mutex
+	budget   *budget
 
 	entering door
 	serving  door
@@ -86,7 +86,8 @@
 		n.random = rand.Float64
 	}
 	n.calls, n.needs = wasabicall.New(), wasabicall.NewNeeds()
-	n.levels, n.router, n.shares = newLevels(p.Levels), &router{inner: p.Router}, newShares(s.maxCallers)
+	n.levels, n.router, n.shares = &levels{inner: p.Levels}, newRouter(p.Router), newShares(s.maxCallers)
+	n.budget = &budget{make: p.Budget}
 	n.entering.max, n.serving.max = s.maxOpenCalls, s.maxOpenCalls
 	n.upstream = newUpstream(base, s.connections, n.now)
 	n.gate = newGate(n.now, s.slots, p.Limiter, func(limit int) wasabistand.Admission {
@@ -233,36 +234,3 @@
 		n.parts.Clock.Observe(wasabiwire.ToHybridTime(t))
 	}
 }
-
-func (n *Node) withBudget(f func(wasabistand.RetryBudget)) {
-	n.budgetMu.Lock()
-	defer n.budgetMu.Unlock()
-	f(n.parts.Budget)
-}
-
-// router guards the routing decisions by one short-held mutex.
-type router struct {
-	mu    sync.Mutex
-	inner wasabistand.Router
-}
-
-// SetInstances replaces the instances of a service.
-func (r *router) SetInstances(now time.Time, service string, list []wasabistand.Instance) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.inner.SetInstances(now, service, list)
-}
-
-// Pick chooses an instance.
-func (r *router) Pick(now time.Time, q wasabistand.Query) (wasabistand.Instance, error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.inner.Pick(now, q)
-}
-
-// Done records how a call ended.
-func (r *router) Done(now time.Time, service, instance string, result wasabistand.Result) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.inner.Done(now, service, instance, result)
-}
--- a/wasabinode/parts.go
+++ b/wasabinode/parts.go
@@ -16,8 +16,10 @@
 	Claims    wasabistand.Claims
 	Recorder  wasabistand.Recorder
 	Levels    wasabistand.Levels
-	Router    wasabistand.Router
-	Budget    wasabistand.RetryBudget
+	// Router returns a router that knows the links between regions.
+	Router func([]wasabistand.RegionLink) wasabistand.Router
+	// Budget returns this instance's retry budget.
+	Budget func(wasabistand.RetryContract) wasabistand.RetryBudget
 	// Allowance returns the retry allowance of a new call tree or of a part
 	// of one.
 	Allowance func(n int) wasabistand.Allowance
--- a/wasabinode/route.go
+++ b/wasabinode/route.go
@@ -35,7 +35,7 @@
 	var uncertain bool
 	var tried []string
 	var avoid string
-	n.withBudget(func(b wasabistand.RetryBudget) { b.Attempt(n.now()) })
+	n.budget.attempt(n.now())
 	for {
 		q := wasabistand.Query{
 			Service:    c.kind.Service,
@@ -55,7 +55,7 @@
 		}
 		body, ok := c.body.open()
 		if !ok {
-			n.router.Done(n.now(), c.kind.Service, instance.ID, wasabistand.Result{Outcome: wasabistand.NotRun})
+			n.router.done(n.now(), c.kind.Service, instance.ID, wasabistand.Result{Outcome: wasabistand.NotRun})
 			return certain(last, uncertain)
 		}
 		a.body = body
@@ -103,8 +103,8 @@
 	if e.refusal != nil {
 		result.Outcome = e.refusal.Outcome
 	}
-	n.router.Done(now, c.kind.Service, i.ID, result)
-	n.levels.learn(now, c.kind, i.ID, e.load)
+	n.router.done(now, c.kind.Service, i.ID, result)
+	n.levels.learn(now, c.kind, e.load)
 	return e
 }
 
@@ -116,12 +116,7 @@
 	if r.Outcome != wasabistand.NotRun && !c.contract.Idempotent || !elsewhere(r.Reason) {
 		return false
 	}
-	if c.allowance.Left() == 0 {
-		return false
-	}
-	var allowed bool
-	n.withBudget(func(b wasabistand.RetryBudget) { allowed = b.Retry(n.now()) })
-	return allowed && c.allowance.Take()
+	return c.allowance.Left() > 0 && n.budget.retry(n.now()) && c.allowance.Take()
 }
 
 // elsewhere reports whether a call that ended for a reason may fare better at
@@ -139,7 +134,7 @@
 	if q.Remaining <= 0 {
 		return wasabistand.Instance{}, wasabistand.NewRefusal(wasabistand.ReasonDeadline, "the patience ended")
 	}
-	i, err := n.router.Pick(n.now(), q)
+	i, err := n.router.pick(n.now(), q)
 	if err == nil {
 		return i, nil
 	}
--- a/wasabinode/state.go
+++ b/wasabinode/state.go
@@ -22,11 +22,10 @@
 
 // follow puts what control sends into force.
 func (n *Node) follow(ctx context.Context) {
-	known := map[string]bool{}
 	for {
 		changed := n.directory.Changed()
 		if v := n.directory.View(); v != nil && v.Contracts != nil {
-			n.apply(v, known)
+			n.apply(v)
 		}
 		select {
 		case <-ctx.Done():
@@ -36,23 +35,16 @@
 	}
 }
 
-func (n *Node) apply(v *wasabistand.View, known map[string]bool) {
+func (n *Node) apply(v *wasabistand.View) {
 	now := n.now()
-	for service, list := range v.Instances {
-		known[service] = true
-		n.router.SetInstances(now, service, list)
-	}
-	for service := range known {
-		if _, ok := v.Instances[service]; !ok {
-			n.router.SetInstances(now, service, nil)
-			delete(known, service)
-		}
-	}
+	n.router.setInstances(now, v.Instances)
 	current := n.view.Load()
 	if current != nil && current.revision >= v.Revision {
 		// A configuration is never reverted.
 		return
 	}
+	n.router.configure(now, v.Contracts.Regions)
+	n.budget.configure(v.Contracts.Retry)
 	n.view.Store(&view{revision: v.Revision, contracts: v.Contracts, index: wasabiconfig.NewIndex(v.Contracts)})
 	n.gate.configure(n.parts.Admission, v.Contracts.Services[n.settings.service])
 	n.parts.Recorder.Record(wasabistand.Event{Kind: wasabistand.EventConfigInForce, Fields: []wasabistand.HeaderField{{Name: "revision", Value: formatUint(v.Revision)}}})
