Let a refused dialer read why its link is refused

Cause: the link test failed now and then. A listener that refuses a peer of another cluster closed the link before the dialer had read its hello, so the dialer reported "session shutdown". Two more causes lay in the test: a cut connection passed its close on to the peer, and a failed assertion left tickers that kept the bubble's time running until the test timeout. Change: the refusing end waits up to 1 s for the dialer to close, and a dialer reads the peer's hello even if its own could not be sent. The cases run in one bubble, and a cut connection passes nothing on.

--- a/wasabilink/link.go
+++ b/wasabilink/link.go
@@ -19,6 +19,10 @@
 // that connects and says nothing holds no resources.
 const helloTimeout = 5 * time.Second
 
+// refusalLinger is how long a refusing listener waits for the dialer to read
+// why.
+const refusalLinger = time.Second
+
 // Handler serves one stream that the peer opened. The context ends with the
 // link. The stream is closed when the handler returns.
 type Handler func(ctx context.Context, kind wasabistandv1.StreamOpen_Kind, s *Stream)
@@ -122,14 +126,26 @@
 	l.control = newStream(l, raw)
 	l.streams.Add(-1) // The control stream does not count as use.
 	mine := &wasabistandv1.LinkHello{Cluster: l.options.cluster, Version: Version, Instance: l.options.instance, Incarnation: l.options.incarnation}
-	if err := l.control.Send(&wasabistandv1.LinkControl{Kind: &wasabistandv1.LinkControl_Hello{Hello: mine}}); err != nil {
-		return err
-	}
+	// A refused hello may fail to be sent because the peer has ended the link;
+	// what the peer sent still says why.
+	sent := l.control.Send(&wasabistandv1.LinkControl{Kind: &wasabistandv1.LinkControl_Hello{Hello: mine}})
 	var frame wasabistandv1.LinkControl
 	if err := l.control.Receive(&frame); err != nil {
 		return err
 	}
-	theirs := frame.GetHello()
+	if err := l.accept(frame.GetHello()); err != nil {
+		if !client {
+			// The dialer must read this end's hello before the link goes away.
+			_ = l.control.SetDeadline(time.Now().Add(refusalLinger))
+			_ = l.control.Receive(&frame)
+		}
+		return err
+	}
+	return sent
+}
+
+// accept checks the peer's hello.
+func (l *Link) accept(theirs *wasabistandv1.LinkHello) error {
 	switch {
 	case theirs == nil:
 		return Error.New("first frame is not a hello")
--- a/wasabilink/link_test.go
+++ b/wasabilink/link_test.go
@@ -58,13 +58,19 @@
 	return b.Conn.Write(p)
 }
 
-// bubble runs f with fake time. yamux keeps timers in a global sync.Pool, and
-// timers of one bubble must not reach the next: two collections empty it.
-func bubble(t *testing.T, f func(t *testing.T)) {
-	t.Helper()
+// TestLinks runs all cases in one bubble of fake time, one after the other:
+// yamux keeps timers in a global sync.Pool, and a timer of one bubble must not
+// reach another. Two collections empty the pool for a repeated run.
+func TestLinks(t *testing.T) {
 	runtime.GC()
 	runtime.GC()
-	synctest.Test(t, f)
+	synctest.Test(t, func(t *testing.T) {
+		silentLinkEndsStreamsWithinBound(t)
+		poolDialsBesideSuspectLink(t)
+		peerOfAnotherClusterIsRefused(t)
+		slowStreamHoldsUpNoOther(t)
+		oversizedFrameIsRefused(t)
+	})
 }
 
 func echo(_ context.Context, _ wasabistandv1.StreamOpen_Kind, s *wasabilink.Stream) {
@@ -76,6 +82,14 @@
 	}
 }
 
+// Close does not reach the peer once the connection is cut.
+func (b *blackhole) Close() error {
+	if b.cut.Load() {
+		return b.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
+	return b.Conn.Close()
+}
+
 func body(b string) *wasabistandv1.CallFrame {
 	return &wasabistandv1.CallFrame{Kind: &wasabistandv1.CallFrame_Body{Body: []byte(b)}}
 }
@@ -85,116 +99,111 @@
 }
 
 // Guards against calls that wait for TCP when a link goes silent.
-func TestSilentLinkEndsStreamsWithinBound(t *testing.T) {
-	bubble(t, func(t *testing.T) {
-		n := newNetwork()
-		ln := wasabilink.Serve(n, options("b"), echo)
-		p := wasabilink.NewPool(options("a").WithDial(n.dial), nil)
-		l, err := p.Get(t.Context(), "b")
-		assert.NilError(t, err)
-		s, err := l.Open(wasabistandv1.StreamOpen_KIND_CALL)
-		assert.NilError(t, err)
-		assert.NilError(t, s.Send(body("x")))
-		var f wasabistandv1.CallFrame
-		assert.NilError(t, s.Receive(&f))
-		assert.Equal(t, string(f.GetBody()), "x")
-
-		n.cut.Load().Store(true)
-		start := time.Now()
-		err = s.Receive(&f)
-		assert.Assert(t, wasabilink.ErrSilent.Has(err), "%v", err)
-		assert.Assert(t, time.Since(start) <= 1600*time.Millisecond, "took %v", time.Since(start))
-		assert.NilError(t, s.Close())
-		assert.NilError(t, p.Close())
-		assert.NilError(t, ln.Close())
-	})
+func silentLinkEndsStreamsWithinBound(t *testing.T) {
+	t.Helper()
+	n := newNetwork()
+	ln := wasabilink.Serve(n, options("b"), echo)
+	p := wasabilink.NewPool(options("a").WithDial(n.dial), nil)
+	l, err := p.Get(t.Context(), "b")
+	assert.NilError(t, err)
+	s, err := l.Open(wasabistandv1.StreamOpen_KIND_CALL)
+	assert.NilError(t, err)
+	assert.NilError(t, s.Send(body("x")))
+	var f wasabistandv1.CallFrame
+	assert.NilError(t, s.Receive(&f))
+	assert.Equal(t, string(f.GetBody()), "x")
+
+	n.cut.Load().Store(true)
+	start := time.Now()
+	err = s.Receive(&f)
+	assert.Assert(t, wasabilink.ErrSilent.Has(err), "%v", err)
+	assert.Assert(t, time.Since(start) <= 1600*time.Millisecond, "took %v", time.Since(start))
+	assert.NilError(t, s.Close())
+	assert.NilError(t, p.Close())
+	assert.NilError(t, ln.Close())
 }
 
 // Guards against new calls failing on a link that is already suspect while a
 // new one would work.
-func TestPoolDialsBesideSuspectLink(t *testing.T) {
-	bubble(t, func(t *testing.T) {
-		n := newNetwork()
-		ln := wasabilink.Serve(n, options("b"), echo)
-		p := wasabilink.NewPool(options("a").WithDial(n.dial), nil)
-		l, err := p.Get(t.Context(), "b")
-		assert.NilError(t, err)
-		s, err := l.Open(wasabistandv1.StreamOpen_KIND_CALL)
-		assert.NilError(t, err)
-		n.cut.Load().Store(true)
-		time.Sleep(900 * time.Millisecond)
-		assert.Assert(t, l.Suspect())
-		assert.NilError(t, l.Err())
-		second, err := p.Get(t.Context(), "b")
-		assert.NilError(t, err)
-		assert.Assert(t, second != l)
-		assert.Equal(t, n.dials.Load(), int64(2))
-		assert.NilError(t, s.Close())
-		assert.NilError(t, p.Close())
-		assert.NilError(t, ln.Close())
-	})
+func poolDialsBesideSuspectLink(t *testing.T) {
+	t.Helper()
+	n := newNetwork()
+	ln := wasabilink.Serve(n, options("b"), echo)
+	p := wasabilink.NewPool(options("a").WithDial(n.dial), nil)
+	l, err := p.Get(t.Context(), "b")
+	assert.NilError(t, err)
+	s, err := l.Open(wasabistandv1.StreamOpen_KIND_CALL)
+	assert.NilError(t, err)
+	n.cut.Load().Store(true)
+	time.Sleep(900 * time.Millisecond)
+	assert.Assert(t, l.Suspect())
+	assert.NilError(t, l.Err())
+	second, err := p.Get(t.Context(), "b")
+	assert.NilError(t, err)
+	assert.Assert(t, second != l)
+	assert.Equal(t, n.dials.Load(), int64(2))
+	assert.NilError(t, s.Close())
+	assert.NilError(t, p.Close())
+	assert.NilError(t, ln.Close())
 }
 
 // Guards against joining processes of two installations.
-func TestPeerOfAnotherClusterIsRefused(t *testing.T) {
-	bubble(t, func(t *testing.T) {
-		n := newNetwork()
-		ln := wasabilink.Serve(n, wasabilink.NewOptions("other", "b", 1), echo)
-		_, err := wasabilink.Dial(t.Context(), "b", options("a").WithDial(n.dial), nil)
-		assert.ErrorContains(t, err, `cluster "other"`)
-		assert.NilError(t, ln.Close())
-	})
+func peerOfAnotherClusterIsRefused(t *testing.T) {
+	t.Helper()
+	n := newNetwork()
+	ln := wasabilink.Serve(n, wasabilink.NewOptions("other", "b", 1), echo)
+	_, err := wasabilink.Dial(t.Context(), "b", options("a").WithDial(n.dial), nil)
+	assert.ErrorContains(t, err, `cluster "other"`)
+	assert.NilError(t, ln.Close())
 }
 
 // Guards against a slow reader holding up other streams of its link.
-func TestSlowStreamHoldsUpNoOther(t *testing.T) {
-	bubble(t, func(t *testing.T) {
-		n := newNetwork()
-		ln := wasabilink.Serve(n, options("b"), func(ctx context.Context, k wasabistandv1.StreamOpen_Kind, s *wasabilink.Stream) {
-			if k == wasabistandv1.StreamOpen_KIND_MEMBERS {
-				<-ctx.Done() // Never reads.
-				return
-			}
-			echo(ctx, k, s)
-		})
-		p := wasabilink.NewPool(options("a").WithDial(n.dial), nil)
-		l, err := p.Get(t.Context(), "b")
-		assert.NilError(t, err)
-		slow, err := l.Open(wasabistandv1.StreamOpen_KIND_MEMBERS)
-		assert.NilError(t, err)
-		go func() {
-			for slow.Send(body(string(make([]byte, 32<<10)))) == nil {
-			}
-		}()
-		synctest.Wait()
-		s, err := l.Open(wasabistandv1.StreamOpen_KIND_CALL)
-		assert.NilError(t, err)
-		assert.NilError(t, s.Send(body("y")))
-		var f wasabistandv1.CallFrame
-		assert.NilError(t, s.Receive(&f))
-		assert.Equal(t, string(f.GetBody()), "y")
-		assert.NilError(t, p.Close())
-		assert.NilError(t, ln.Close())
+func slowStreamHoldsUpNoOther(t *testing.T) {
+	t.Helper()
+	n := newNetwork()
+	ln := wasabilink.Serve(n, options("b"), func(ctx context.Context, k wasabistandv1.StreamOpen_Kind, s *wasabilink.Stream) {
+		if k == wasabistandv1.StreamOpen_KIND_MEMBERS {
+			<-ctx.Done() // Never reads.
+			return
+		}
+		echo(ctx, k, s)
 	})
+	p := wasabilink.NewPool(options("a").WithDial(n.dial), nil)
+	l, err := p.Get(t.Context(), "b")
+	assert.NilError(t, err)
+	slow, err := l.Open(wasabistandv1.StreamOpen_KIND_MEMBERS)
+	assert.NilError(t, err)
+	go func() {
+		for slow.Send(body(string(make([]byte, 32<<10)))) == nil {
+		}
+	}()
+	synctest.Wait()
+	s, err := l.Open(wasabistandv1.StreamOpen_KIND_CALL)
+	assert.NilError(t, err)
+	assert.NilError(t, s.Send(body("y")))
+	var f wasabistandv1.CallFrame
+	assert.NilError(t, s.Receive(&f))
+	assert.Equal(t, string(f.GetBody()), "y")
+	assert.NilError(t, p.Close())
+	assert.NilError(t, ln.Close())
 }
 
 // Guards against an unbounded frame from a peer.
-func TestOversizedFrameIsRefused(t *testing.T) {
-	bubble(t, func(t *testing.T) {
-		n := newNetwork()
-		got := make(chan error, 1)
-		ln := wasabilink.Serve(n, options("b").WithMaxFrameBytes(1000), func(_ context.Context, _ wasabistandv1.StreamOpen_Kind, s *wasabilink.Stream) {
-			var f wasabistandv1.CallFrame
-			got <- s.Receive(&f)
-		})
-		l, err := wasabilink.Dial(t.Context(), "b", options("a").WithDial(n.dial), nil)
-		assert.NilError(t, err)
-		s, err := l.Open(wasabistandv1.StreamOpen_KIND_CALL)
-		assert.NilError(t, err)
-		assert.NilError(t, s.Send(body(string(make([]byte, 2000)))))
-		err = <-got
-		assert.Assert(t, err != nil && !errors.Is(err, io.EOF))
-		assert.NilError(t, l.Close())
-		assert.NilError(t, ln.Close())
+func oversizedFrameIsRefused(t *testing.T) {
+	t.Helper()
+	n := newNetwork()
+	got := make(chan error, 1)
+	ln := wasabilink.Serve(n, options("b").WithMaxFrameBytes(1000), func(_ context.Context, _ wasabistandv1.StreamOpen_Kind, s *wasabilink.Stream) {
+		var f wasabistandv1.CallFrame
+		got <- s.Receive(&f)
 	})
+	l, err := wasabilink.Dial(t.Context(), "b", options("a").WithDial(n.dial), nil)
+	assert.NilError(t, err)
+	s, err := l.Open(wasabistandv1.StreamOpen_KIND_CALL)
+	assert.NilError(t, err)
+	assert.NilError(t, s.Send(body(string(make([]byte, 2000)))))
+	err = <-got
+	assert.Assert(t, err != nil && !errors.Is(err, io.EOF))
+	assert.NilError(t, l.Close())
+	assert.NilError(t, ln.Close())
 }
