Test the registry over a faulty network

Cause: all control instances must list the same living instances, and an instance that leaves must not get work again. Change: a property test runs three registries with lost, late and repeated syncs, cut links and restarts; focused tests cover duplicates, expiry over one and several sources, and deltas. Messages of a process that has ended count for its own list, since they may come after those of the next one.

--- /dev/null
+++ b/wasabimember/network_test.go
@@ -0,0 +1,327 @@
+package wasabimember_test
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wasabistand/wasabistand"
+	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
+	"github.com/wasabistand/wasabistand/wasabimember"
+)
+
+const (
+	controls = 3
+	nodes    = 9
+	step     = 250 * time.Millisecond
+	hold     = 10 * time.Second
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// node is a node as it is in truth.
+type node struct {
+	instance wasabistand.Instance
+	alive    bool
+	control  int
+	// announced says that the session of control knows the announcement.
+	announced bool
+	renewed   time.Time
+}
+
+type client struct {
+	control int
+	version uint64
+	list    map[string]*wasabistandv1.Instance
+}
+
+type message struct {
+	from, to int
+	at       time.Time
+	sync     *wasabistandv1.MemberSync
+}
+
+// leaving is an announcement that a registry knows of.
+type leaving struct {
+	incarnation, sequence uint64
+}
+
+// network drives registries that exchange syncs over a faulty network.
+type network struct {
+	pick       func(n int) int
+	now        time.Time
+	registries [controls]*wasabimember.Registry
+	epochs     uint64
+	nodes      [nodes]*node
+	clients    [controls]*client
+	flight     []message
+	cut        [controls][controls]bool
+	// left is which announcements of leaving each registry has learned.
+	left   [controls]map[string]leaving
+	leaves []leave
+	// seen is the highest sequence that arrived at a registry by source.
+	seen [controls]map[string]uint64
+	calm bool
+}
+
+// leave is the first sync that tells of a leaving instance.
+type leave struct {
+	id       string
+	what     leaving
+	source   string
+	epoch    uint64
+	sequence uint64
+}
+
+func newNetwork(pick func(n int) int) *network {
+	n := &network{pick: pick, now: start}
+	for i := range n.registries {
+		n.restart(i)
+		n.clients[i] = &client{control: i, list: make(map[string]*wasabistandv1.Instance)}
+	}
+	for i := range n.nodes {
+		n.nodes[i] = &node{
+			alive: true, control: i % controls,
+			instance: wasabistand.Instance{
+				ID: fmt.Sprintf("archive-%d", i), Incarnation: 1, Sequence: 1, Service: "archive",
+				LinkAddress: fmt.Sprintf("127.0.0.1:%d", 7000+i), Location: wasabistand.Location{Region: "lagos", FailureDomain: "a"},
+				Slots: 55, Connections: 430, State: wasabistand.Ready,
+			},
+		}
+	}
+	return n
+}
+
+func (n *network) restart(i int) {
+	n.epochs++
+	n.registries[i] = wasabimember.New(wasabimember.NewOptions(fmt.Sprint("control-", i), n.epochs).WithMassExpiry(20, 3, hold))
+	n.left[i], n.seen[i] = make(map[string]leaving), make(map[string]uint64)
+	for _, c := range n.nodes {
+		if c != nil && c.control == i {
+			c.announced = false
+		}
+	}
+	n.flight = slices.DeleteFunc(n.flight, func(m message) bool { return m.to == i })
+}
+
+// advance moves the time on by a step: faults, nodes, ticks, syncs, clients.
+func (n *network) advance() error {
+	n.now = n.now.Add(step)
+	if !n.calm {
+		n.fault()
+	}
+	for _, c := range n.nodes {
+		n.runNode(c)
+	}
+	for i, r := range n.registries {
+		r.Tick(n.now)
+		if n.now.Sub(start)%time.Second == 0 || r.Pending() {
+			n.broadcast(i)
+		}
+	}
+	if err := n.deliver(); err != nil {
+		return err
+	}
+	for i := range n.registries {
+		if err := n.checkLeaving(i); err != nil {
+			return err
+		}
+	}
+	for _, c := range n.clients {
+		if err := n.runClient(c); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (n *network) fault() {
+	c := n.nodes[n.pick(nodes)]
+	switch n.pick(40) {
+	case 0: // The node restarts, sometimes elsewhere.
+		c.alive, c.announced = true, false
+		c.instance.Incarnation, c.instance.Sequence, c.instance.State = c.instance.Incarnation+1, 1, wasabistand.Ready
+		if n.pick(2) == 0 {
+			c.instance.LinkAddress = fmt.Sprintf("127.0.0.2:%d", 7000+n.pick(1000))
+		}
+	case 1:
+		c.alive = false
+	case 2, 3:
+		c.instance.State, c.announced = wasabistand.Leaving, false
+		c.instance.Sequence++
+	case 4, 5: // The session moves.
+		c.control, c.announced = n.pick(controls), false
+		c.instance.Sequence++
+	case 6:
+		n.restart(n.pick(controls))
+	case 7, 8:
+		a, b := n.pick(controls), n.pick(controls)
+		n.cut[a][b] = a != b && !n.cut[a][b]
+	case 9:
+		n.cut = [controls][controls]bool{}
+	case 10:
+		n.clients[n.pick(controls)].control = n.pick(controls)
+	case 11: // All nodes of a control instance are cut off from it for a while.
+		cut := n.pick(controls)
+		for _, c := range n.nodes {
+			if c.control == cut {
+				c.renewed = n.now.Add(4 * time.Second)
+			}
+		}
+	}
+}
+
+func (n *network) runNode(c *node) {
+	if !c.alive || n.now.Sub(c.renewed) < time.Second {
+		return
+	}
+	r, i := n.registries[c.control], &c.instance
+	if !c.announced {
+		if r.Announce(n.now, *i) != nil {
+			return
+		}
+		c.announced, c.renewed = true, n.now
+		if i.State == wasabistand.Leaving {
+			s := r.Sync(n.now, true)
+			n.leaves = append(n.leaves, leave{i.ID, leaving{i.Incarnation, i.Sequence}, s.Source, s.Epoch, s.Sequence + 1})
+			n.left[c.control][i.ID] = leaving{i.Incarnation, i.Sequence}
+			if n.pick(2) == 0 {
+				r.Disconnect(n.now, i.ID, i.Incarnation, i.Sequence)
+				c.alive = false
+			}
+		}
+		return
+	}
+	if r.Renew(n.now, i.ID, i.Incarnation, i.Sequence, uint64(n.pick(3))) != nil {
+		c.announced = false
+		i.Sequence++
+		return
+	}
+	c.renewed = n.now
+}
+
+func (n *network) broadcast(from int) {
+	m := n.registries[from].Sync(n.now, false)
+	for to := range n.registries {
+		if to == from || n.cut[from][to] {
+			continue
+		}
+		copies, delay := 1, time.Duration(0)
+		if !n.calm {
+			copies, delay = []int{1, 1, 1, 1, 0, 2}[n.pick(6)], time.Duration(n.pick(8)/5)*step*7
+		}
+		for c := range copies {
+			n.flight = append(n.flight, message{from, to, n.now.Add(delay + time.Duration(c)*3*step), m})
+		}
+	}
+}
+
+func (n *network) deliver() error {
+	for k := 0; k < len(n.flight); k++ {
+		m := n.flight[k]
+		if m.at.After(n.now) {
+			continue
+		}
+		n.flight = slices.Delete(n.flight, k, k+1)
+		k--
+		// A message that was changed by its receiver would show in another.
+		if err := n.registries[m.to].Merge(n.now, proto.Clone(m.sync).(*wasabistandv1.MemberSync)); err != nil {
+			return err
+		}
+		source := fmt.Sprint(m.sync.Source, m.sync.Epoch)
+		if m.sync.Sequence <= n.seen[m.to][source] {
+			// Registries leave out what comes after a later message; links
+			// between them keep the order, so this is for duplicates.
+			continue
+		}
+		n.seen[m.to][source] = m.sync.Sequence
+		for _, l := range n.leaves {
+			if l.source == m.sync.Source && l.epoch == m.sync.Epoch && l.sequence == m.sync.Sequence && has(m.sync, l.id) {
+				n.left[m.to][l.id] = l.what
+			}
+		}
+	}
+	return nil
+}
+
+func has(m *wasabistandv1.MemberSync, id string) bool {
+	return slices.ContainsFunc(m.Upserts, func(i *wasabistandv1.Instance) bool {
+		return i.Id == id && i.State == wasabistandv1.InstanceState_INSTANCE_STATE_LEAVING
+	})
+}
+
+// checkLeaving guards promise 6: a registry that has learned that an instance
+// leaves does not list it as taking work again.
+func (n *network) checkLeaving(i int) error {
+	for _, c := range n.registries[i].List("archive") {
+		l, ok := n.left[i][c.ID]
+		if ok && c.TakesWork() && c.Incarnation == l.incarnation {
+			return fmt.Errorf("control-%d lists %+v after it learned of %+v", i, c, l)
+		}
+	}
+	return nil
+}
+
+func (n *network) runClient(c *client) error {
+	r := n.registries[c.control]
+	if d := r.Delta("archive", c.version); d != nil {
+		if d.BaseVersion == 0 {
+			clear(c.list)
+		} else if d.BaseVersion != c.version {
+			return fmt.Errorf("delta from %d, asked from %d", d.BaseVersion, c.version)
+		}
+		for _, i := range d.Upserts {
+			c.list[i.Id] = i
+		}
+		for _, id := range d.Removes {
+			delete(c.list, id)
+		}
+		c.version = d.Version
+	}
+	full := r.Delta("archive", 0)
+	if len(full.Upserts) != len(c.list) {
+		return fmt.Errorf("client holds %d instances, the list %d", len(c.list), len(full.Upserts))
+	}
+	for _, i := range full.Upserts {
+		if !proto.Equal(i, c.list[i.Id]) {
+			return fmt.Errorf("client holds %v, the list %v", c.list[i.Id], i)
+		}
+	}
+	return nil
+}
+
+// settle ends all faults and checks that after the hold all registries list
+// exactly the living instances and send nothing more about them.
+func (n *network) settle() error {
+	n.calm, n.cut = true, [controls][controls]bool{}
+	for range int(3 * hold / step) {
+		if err := n.advance(); err != nil {
+			return err
+		}
+	}
+	var want []string
+	for _, c := range n.nodes {
+		if c.alive {
+			want = append(want, describe(c.instance))
+		}
+	}
+	for i, r := range n.registries {
+		var got []string
+		for _, c := range r.List("") {
+			got = append(got, describe(c))
+		}
+		if !slices.Equal(got, want) {
+			return fmt.Errorf("control-%d lists %v, alive are %v", i, got, want)
+		}
+		if s := r.Sync(n.now, false); len(s.Upserts)+len(s.Removes)+len(s.WantFull) > 0 {
+			return fmt.Errorf("control-%d still sends %v", i, s)
+		}
+	}
+	return nil
+}
+
+func describe(i wasabistand.Instance) string {
+	return fmt.Sprint(i.ID, " ", i.Incarnation, " ", i.Sequence, " ", i.LinkAddress, " ", i.State, " ", i.Suspect)
+}
--- a/wasabimember/options.go
+++ b/wasabimember/options.go
@@ -43,7 +43,8 @@
 }
 
 // NewOptions returns the default settings of a control instance. The epoch
-// must grow with each start of the process; use its start time in nanoseconds.
+// must differ from that of earlier processes of this control instance; use its
+// start time in nanoseconds.
 func NewOptions(source string, epoch uint64) Options {
 	return Options{
 		source: source,
--- a/wasabimember/registry.go
+++ b/wasabimember/registry.go
@@ -74,7 +74,8 @@
 	i.Drained, i.Suspect = false, false
 	known, holder := r.best(i.ID)
 	if known != nil {
-		if err := admit(i, known, holder.stateOf(known) >= leaseLate); err != nil {
+		fresh := holder.stateOf(known) >= leaseLate && (holder != r.local || now.Sub(known.renewed) < r.options.lease)
+		if err := admit(i, known, fresh); err != nil {
 			return err
 		}
 	}
--- a/wasabimember/sync.go
+++ b/wasabimember/sync.go
@@ -113,7 +113,7 @@
 		return wasabistand.ErrInvalid.New("upserts: %d, allowed are %d", n, r.options.maxInstances)
 	}
 	l, err := r.source(m)
-	if l == nil {
+	if err != nil {
 		return err
 	}
 	if m.GetSequence() < l.sequence || (m.GetSequence() == l.sequence && !m.GetFull()) {
@@ -138,25 +138,21 @@
 	return err
 }
 
-// source returns the copy of a source's list, nil when the message comes from
-// a process that has ended.
+// source returns the copy of a source's list. Each process of a control
+// instance has a list of its own. That of an ended process is kept until it
+// counts as silent and its hold is over: its instances are alive and will
+// announce themselves, and its last messages may come after the first ones of
+// the next process.
 func (r *Registry) source(m *wasabistandv1.MemberSync) (*list, error) {
 	key := sourceKey{m.GetSource(), m.GetEpoch()}
-	if l := r.remote[key]; l != nil {
-		return l, nil
-	}
-	for k := range r.remote {
-		if k.source == key.source && k.epoch > key.epoch {
-			return nil, nil
+	l := r.remote[key]
+	if l == nil {
+		if len(r.remote) >= maxSources {
+			return nil, ErrFull.New("%d sources, allowed are %d", len(r.remote), maxSources)
 		}
+		l = newList(key.source, key.epoch)
+		r.remote[key] = l
 	}
-	if len(r.remote) >= maxSources {
-		return nil, ErrFull.New("%d sources, allowed are %d", len(r.remote), maxSources)
-	}
-	// The list of an ended process is kept until it counts as silent and its
-	// hold is over: its instances are alive and will announce themselves.
-	l := newList(key.source, key.epoch)
-	r.remote[key] = l
 	return l, nil
 }
 
