Bound times and restarting sources, and keep leaving final

Cause: a time near the end of the range would overflow sums; a control instance that restarts again and again used up the room for lists; an instance could take back that it leaves within one incarnation. Change: times are clamped, the oldest list of the same source makes room, and an announcement that takes back Leaving is refused. Tests share their encoding of commands.

--- a/wasabimember/network_test.go
+++ b/wasabimember/network_test.go
@@ -43,11 +43,6 @@
 	sync     *wasabistandv1.MemberSync
 }
 
-// leaving is an announcement that a registry knows of.
-type leaving struct {
-	incarnation, sequence uint64
-}
-
 // network drives registries that exchange syncs over a faulty network.
 type network struct {
 	pick       func(n int) int
@@ -58,23 +53,14 @@
 	clients    [controls]*client
 	flight     []message
 	cut        [controls][controls]bool
-	// left is which announcements of leaving each registry has learned.
-	left   [controls]map[string]leaving
-	leaves []leave
+	// left is the incarnation of an instance of which a registry has learned
+	// that it leaves.
+	left [controls]map[string]uint64
 	// seen is the highest sequence that arrived at a registry by source.
 	seen [controls]map[string]uint64
 	calm bool
 }
 
-// leave is the first sync that tells of a leaving instance.
-type leave struct {
-	id       string
-	what     leaving
-	source   string
-	epoch    uint64
-	sequence uint64
-}
-
 func newNetwork(pick func(n int) int) *network {
 	n := &network{pick: pick, now: start}
 	for i := range n.registries {
@@ -82,14 +68,7 @@
 		n.clients[i] = &client{control: i, list: make(map[string]*wasabistandv1.Instance)}
 	}
 	for i := range n.nodes {
-		n.nodes[i] = &node{
-			alive: true, control: i % controls,
-			instance: wasabistand.Instance{
-				ID: fmt.Sprintf("archive-%d", i), Incarnation: 1, Sequence: 1, Service: "archive",
-				LinkAddress: fmt.Sprintf("127.0.0.1:%d", 7000+i), Location: wasabistand.Location{Region: "lagos", FailureDomain: "a"},
-				Slots: 55, Connections: 430, State: wasabistand.Ready,
-			},
-		}
+		n.nodes[i] = &node{alive: true, control: i % controls, instance: instance(i)}
 	}
 	return n
 }
@@ -97,7 +76,7 @@
 func (n *network) restart(i int) {
 	n.epochs++
 	n.registries[i] = wasabimember.New(wasabimember.NewOptions(fmt.Sprint("control-", i), n.epochs).WithMassExpiry(20, 3, hold))
-	n.left[i], n.seen[i] = make(map[string]leaving), make(map[string]uint64)
+	n.left[i], n.seen[i] = make(map[string]uint64), make(map[string]uint64)
 	for _, c := range n.nodes {
 		if c != nil && c.control == i {
 			c.announced = false
@@ -184,9 +163,7 @@
 		}
 		c.announced, c.renewed = true, n.now
 		if i.State == wasabistand.Leaving {
-			s := r.Sync(n.now, true)
-			n.leaves = append(n.leaves, leave{i.ID, leaving{i.Incarnation, i.Sequence}, s.Source, s.Epoch, s.Sequence + 1})
-			n.left[c.control][i.ID] = leaving{i.Incarnation, i.Sequence}
+			n.left[c.control][i.ID] = i.Incarnation
 			if n.pick(2) == 0 {
 				r.Disconnect(n.now, i.ID, i.Incarnation, i.Sequence)
 				c.alive = false
@@ -237,28 +214,21 @@
 			continue
 		}
 		n.seen[m.to][source] = m.sync.Sequence
-		for _, l := range n.leaves {
-			if l.source == m.sync.Source && l.epoch == m.sync.Epoch && l.sequence == m.sync.Sequence && has(m.sync, l.id) {
-				n.left[m.to][l.id] = l.what
+		for _, u := range m.sync.Upserts {
+			if u.State == wasabistandv1.InstanceState_INSTANCE_STATE_LEAVING {
+				n.left[m.to][u.Id] = u.Incarnation
 			}
 		}
 	}
 	return nil
 }
 
-func has(m *wasabistandv1.MemberSync, id string) bool {
-	return slices.ContainsFunc(m.Upserts, func(i *wasabistandv1.Instance) bool {
-		return i.Id == id && i.State == wasabistandv1.InstanceState_INSTANCE_STATE_LEAVING
-	})
-}
-
 // checkLeaving guards promise 6: a registry that has learned that an instance
 // leaves does not list it as taking work again.
 func (n *network) checkLeaving(i int) error {
 	for _, c := range n.registries[i].List("archive") {
-		l, ok := n.left[i][c.ID]
-		if ok && c.TakesWork() && c.Incarnation == l.incarnation {
-			return fmt.Errorf("control-%d lists %+v after it learned of %+v", i, c, l)
+		if c.TakesWork() && c.Incarnation == n.left[i][c.ID] {
+			return fmt.Errorf("control-%d lists %+v after it learned that it leaves", i, c)
 		}
 	}
 	return nil
--- a/wasabimember/registry.go
+++ b/wasabimember/registry.go
@@ -79,7 +79,7 @@
 			return err
 		}
 	}
-	if known == nil && len(r.local.entries) >= r.options.maxInstances {
+	if r.local.entries[i.ID] == nil && len(r.local.entries) >= r.options.maxInstances {
 		return ErrFull.New("%d instances, allowed are %d", len(r.local.entries), r.options.maxInstances)
 	}
 	if r.services[i.Service] == nil && len(r.services) >= r.options.maxServices {
@@ -110,6 +110,9 @@
 	if i.Service != k.Service {
 		return wasabistand.ErrInvalid.New("service: %q, allowed in this incarnation is %q", i.Service, k.Service)
 	}
+	if k.State == wasabistand.Leaving && i.State != wasabistand.Leaving {
+		return wasabistand.ErrInvalid.New("state: %s, allowed in this incarnation is %s", i.State, k.State)
+	}
 	if i.Sequence < k.Sequence {
 		return ErrStale.New("sequence: %d, allowed are %d and higher", i.Sequence, k.Sequence)
 	}
--- a/wasabimember/registry_test.go
+++ b/wasabimember/registry_test.go
@@ -71,6 +71,9 @@
 	same := instance(0)
 	same.Slots = 1
 	assert.Assert(t, wasabimember.ErrStale.Has(r.Announce(start, same)), "a sequence names one content")
+	back := wasabimember.New(wasabimember.NewOptions("control-1", 1))
+	assert.NilError(t, back.Announce(start, instance(0).WithState(wasabistand.Leaving)))
+	assert.ErrorContains(t, back.Announce(start, instance(0).WithSequence(2)), "state: Ready")
 	assert.Assert(t, wasabimember.ErrUnknown.Has(r.Renew(start, same.ID, 10, 2, 0)))
 	assert.Assert(t, wasabimember.ErrStale.Has(r.Renew(start, same.ID, 9, 2, 0)))
 	assert.Assert(t, wasabistand.ErrInvalid.Has(r.Announce(start, wasabistand.Instance{})))
--- a/wasabimember/service.go
+++ b/wasabimember/service.go
@@ -105,7 +105,8 @@
 // registry gave, or the full list, with base version 0, when it no longer knows
 // them. It returns nil when nothing changed. A node that comes from another
 // control instance gets the full list. Sequences and revisions in force are
-// left out, so that renewals cause no deltas.
+// left out, so that renewals cause no deltas; drains come with the
+// configuration.
 func (r *Registry) Delta(service string, from uint64) *wasabistandv1.MembershipDelta {
 	d := &wasabistandv1.MembershipDelta{Service: service, Version: r.Version(service)}
 	if from == d.Version {
--- a/wasabimember/sync.go
+++ b/wasabimember/sync.go
@@ -147,7 +147,7 @@
 	key := sourceKey{m.GetSource(), m.GetEpoch()}
 	l := r.remote[key]
 	if l == nil {
-		if len(r.remote) >= maxSources {
+		if len(r.remote) >= maxSources && !r.dropEnded(key.source) {
 			return nil, ErrFull.New("%d sources, allowed are %d", len(r.remote), maxSources)
 		}
 		l = newList(key.source, key.epoch)
@@ -156,6 +156,23 @@
 	return l, nil
 }
 
+// dropEnded drops the list of a source that was heard longest ago, so that one
+// control instance that restarts again and again leaves room for others.
+func (r *Registry) dropEnded(source string) bool {
+	var oldest *list
+	for _, l := range r.remote {
+		if l.source == source && (oldest == nil || l.heard.Before(oldest.heard)) {
+			oldest = l
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	delete(r.remote, sourceKey{oldest.source, oldest.epoch})
+	r.refreshAll(oldest)
+	return true
+}
+
 func (r *Registry) mergeEntries(now time.Time, l *list, m *wasabistandv1.MemberSync) error {
 	var first error
 	touched := make(map[string]struct{})
--- a/wasabistate/bench_test.go
+++ b/wasabistate/bench_test.go
@@ -7,8 +7,6 @@
 	"testing"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
 	"github.com/wasabistand/wasabistand/wasabistate"
 )
@@ -18,12 +16,8 @@
 func claimCommands(i int, now int64, answer *wasabistandv1.RecordedAnswer) (take, settle []byte) {
 	k := &wasabistandv1.ClaimKey{Caller: "office", Service: "reports", Key: fmt.Sprintf("7f9c2ba4-e88f-827d-6160-%012d", i)}
 	o := &wasabistandv1.ClaimOwner{Instance: fmt.Sprintf("reports-%04d", i%2300), Incarnation: 1, Call: uint64(i)}
-	take, _ = proto.Marshal(&wasabistandv1.StateCommand{ProposedUnixMs: now, Kind: &wasabistandv1.StateCommand_ClaimTake{ClaimTake: &wasabistandv1.ClaimTake{
-		Key: k, Owner: o, Fingerprint: make([]byte, 32), ExpiresUnixMs: now + 250, DeadlineUnixMs: now + 5000,
-	}}})
-	settle, _ = proto.Marshal(&wasabistandv1.StateCommand{ProposedUnixMs: now, Kind: &wasabistandv1.StateCommand_ClaimSettle{ClaimSettle: &wasabistandv1.ClaimSettle{
-		Key: k, Owner: o, Result: &wasabistandv1.ClaimSettle_Answer{Answer: answer},
-	}}})
+	take = encode(now, &wasabistandv1.ClaimTake{Key: k, Owner: o, Fingerprint: make([]byte, 32), ExpiresUnixMs: now + 250, DeadlineUnixMs: now + 5000})
+	settle = encode(now, &wasabistandv1.ClaimSettle{Key: k, Owner: o, Result: &wasabistandv1.ClaimSettle_Answer{Answer: answer}})
 	return take, settle
 }
 
--- a/wasabistate/machine.go
+++ b/wasabistate/machine.go
@@ -55,7 +55,7 @@
 	}
 	// Leaders' clocks differ; time that went back would let a claim that was
 	// already read as unknown read as held again.
-	m.now = max(m.now, c.GetProposedUnixMs())
+	m.now = max(m.now, min(c.GetProposedUnixMs(), maxUnixMillis))
 	m.identities.expire(m.now, m.options)
 	m.claims.collect(m.now, m.limits)
 	switch k := c.GetKind().(type) {
--- a/wasabistate/machine_test.go
+++ b/wasabistate/machine_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
@@ -15,21 +16,14 @@
 	"github.com/wasabistand/wasabistand/wasabistate"
 )
 
-func encode(now int64, kind any) []byte {
+// encode wraps a command, nil for none, in the StateCommand that carries it.
+func encode(now int64, command proto.Message) []byte {
 	c := &wasabistandv1.StateCommand{ProposedUnixMs: now}
-	switch k := kind.(type) {
-	case *wasabistandv1.ApplyCommand:
-		c.Kind = &wasabistandv1.StateCommand_Apply{Apply: k}
-	case *wasabistandv1.DrainCommand:
-		c.Kind = &wasabistandv1.StateCommand_Drain{Drain: k}
-	case *wasabistandv1.AdoptCommand:
-		c.Kind = &wasabistandv1.StateCommand_Adopt{Adopt: k}
-	case *wasabistandv1.LimitsCommand:
-		c.Kind = &wasabistandv1.StateCommand_Limits{Limits: k}
-	case *wasabistandv1.ClaimBatch:
-		c.Kind = &wasabistandv1.StateCommand_Claims{Claims: k}
-	case *wasabistandv1.ClaimTake:
-		c.Kind = &wasabistandv1.StateCommand_ClaimTake{ClaimTake: k}
+	fields := c.ProtoReflect().Descriptor().Fields()
+	for i := range fields.Len() {
+		if f := fields.Get(i); command != nil && f.Message() == command.ProtoReflect().Descriptor() {
+			c.ProtoReflect().Set(f, protoreflect.ValueOfMessage(command.ProtoReflect()))
+		}
 	}
 	b, err := proto.Marshal(c)
 	if err != nil {
--- a/wasabistate/options.go
+++ b/wasabistate/options.go
@@ -38,6 +38,8 @@
 	// maxPatienceMillis bounds a claim's deadline, so that no claim stays in
 	// the table without end.
 	maxPatienceMillis = int64(24 * time.Hour / time.Millisecond)
+	// maxUnixMillis bounds times, so that sums with them do not overflow.
+	maxUnixMillis = int64(1) << 50
 	// settleGraceMillis is how long after its deadline a claim may be
 	// settled before others read it as unknown.
 	settleGraceMillis = int64(5 * time.Second / time.Millisecond)
--- a/wasabistate/property_test.go
+++ b/wasabistate/property_test.go
@@ -34,7 +34,7 @@
 	second  *wasabistate.Machine
 	oracle  *oracle
 	clock   int64
-	sent    []*wasabistandv1.StateCommand
+	sent    []proto.Message
 	number  int
 	index   uint64
 }
@@ -65,9 +65,9 @@
 	default:
 		if len(w.sent) > 0 {
 			again := w.sent[w.pick(len(w.sent))]
-			if a := again.GetApply(); a != nil && w.pick(4) == 0 {
-				again = proto.Clone(again).(*wasabistandv1.StateCommand)
-				again.GetApply().Toml = "other"
+			if a, ok := again.(*wasabistandv1.ApplyCommand); ok && w.pick(4) == 0 {
+				other := proto.Clone(a).(*wasabistandv1.ApplyCommand)
+				other.Toml, again = "other", other
 			}
 			return w.deliver(again)
 		}
@@ -81,19 +81,18 @@
 	return &wasabistandv1.CommandIdentity{Id: fmt.Sprintf("command-%012d", w.number), IssuedUnixMs: w.oracle.now + skew}
 }
 
-func (w *world) apply() *wasabistandv1.StateCommand {
+func (w *world) apply() *wasabistandv1.ApplyCommand {
 	expected := w.oracle.revision
 	if w.pick(3) == 0 && expected > 0 {
 		expected--
 	}
 	c := &wasabistandv1.ApplyCommand{Command: w.identity(), ExpectedRevision: expected, Operator: fmt.Sprintf("operator-%d", w.pick(3))}
 	c.Toml = "# " + c.Command.Id
-	return &wasabistandv1.StateCommand{Kind: &wasabistandv1.StateCommand_Apply{Apply: c}}
+	return c
 }
 
-func (w *world) drain() *wasabistandv1.StateCommand {
-	c := &wasabistandv1.DrainCommand{Command: w.identity(), Instance: fmt.Sprintf("archive-%d", w.pick(2)), Drained: w.pick(2) == 0, Operator: "operator-1"}
-	return &wasabistandv1.StateCommand{Kind: &wasabistandv1.StateCommand_Drain{Drain: c}}
+func (w *world) drain() *wasabistandv1.DrainCommand {
+	return &wasabistandv1.DrainCommand{Command: w.identity(), Instance: fmt.Sprintf("archive-%d", w.pick(2)), Drained: w.pick(2) == 0, Operator: "operator-1"}
 }
 
 func (w *world) owner() *wasabistandv1.ClaimOwner {
@@ -104,16 +103,15 @@
 	return &wasabistandv1.ClaimKey{Caller: "office", Service: "reports", Key: fmt.Sprint(w.pick(7))}
 }
 
-func (w *world) take() *wasabistandv1.StateCommand {
+func (w *world) take() *wasabistandv1.ClaimTake {
 	patience := []int64{500, 3_000, 100_000}[w.pick(3)]
-	c := &wasabistandv1.ClaimTake{
+	return &wasabistandv1.ClaimTake{
 		Key: w.key(), Owner: w.owner(), Fingerprint: bytes.Repeat([]byte{byte(w.pick(8) / 7)}, 32),
 		ExpiresUnixMs: w.clock + 250, DeadlineUnixMs: w.clock + patience,
 	}
-	return &wasabistandv1.StateCommand{Kind: &wasabistandv1.StateCommand_ClaimTake{ClaimTake: c}}
 }
 
-func (w *world) settle() *wasabistandv1.StateCommand {
+func (w *world) settle() *wasabistandv1.ClaimSettle {
 	c := &wasabistandv1.ClaimSettle{Key: w.key(), Owner: w.owner()}
 	switch w.pick(4) {
 	case 0:
@@ -128,11 +126,11 @@
 		}
 		c.Result = &wasabistandv1.ClaimSettle_Answer{Answer: &wasabistandv1.RecordedAnswer{Status: 200, Body: []byte(body)}}
 	}
-	return &wasabistandv1.StateCommand{Kind: &wasabistandv1.StateCommand_ClaimSettle{ClaimSettle: c}}
+	return c
 }
 
 // send may also lose or hold back a command for later.
-func (w *world) send(c *wasabistandv1.StateCommand) error {
+func (w *world) send(c proto.Message) error {
 	w.sent = append(w.sent, c)
 	if w.pick(6) == 0 {
 		return nil
@@ -140,29 +138,27 @@
 	return w.deliver(c)
 }
 
-func (w *world) deliver(c *wasabistandv1.StateCommand) error {
+func (w *world) deliver(c proto.Message) error {
 	// Each leader has its own clock, some behind.
-	c.ProposedUnixMs = w.clock - int64(w.pick(3))*400
-	b, err := proto.Marshal(c)
-	if err != nil {
-		return err
-	}
+	now := w.clock - int64(w.pick(3))*400
+	b := encode(now, c)
+	var err error
 	w.index++
 	before, total := w.first.Revision(), w.first.Claims().Total()
-	w.oracle.now = max(w.oracle.now, c.ProposedUnixMs)
+	w.oracle.now = max(w.oracle.now, now)
 	result, second := w.first.Apply(w.index, b), w.second.Apply(w.index, b)
 	if fmt.Sprint(result) != fmt.Sprint(second) || reflect.TypeOf(result) != reflect.TypeOf(second) {
 		return fmt.Errorf("replicas answer %v and %v", result, second)
 	}
-	switch k := c.Kind.(type) {
-	case *wasabistandv1.StateCommand_Apply:
-		err = w.oracle.apply(k.Apply, result)
-	case *wasabistandv1.StateCommand_Drain:
-		err = w.oracle.drain(k.Drain, result)
-	case *wasabistandv1.StateCommand_ClaimTake:
-		err = w.oracle.take(k.ClaimTake, total, result.(wasabistate.ClaimResult))
-	case *wasabistandv1.StateCommand_ClaimSettle:
-		err = w.oracle.settle(k.ClaimSettle, result.(wasabistate.ClaimResult))
+	switch k := c.(type) {
+	case *wasabistandv1.ApplyCommand:
+		err = w.oracle.apply(k, result)
+	case *wasabistandv1.DrainCommand:
+		err = w.oracle.drain(k, result)
+	case *wasabistandv1.ClaimTake:
+		err = w.oracle.take(k, total, result.(wasabistate.ClaimResult))
+	case *wasabistandv1.ClaimSettle:
+		err = w.oracle.settle(k, result.(wasabistate.ClaimResult))
 	}
 	if err != nil {
 		return err
