--- a/wasabidisk/replay.go
+++ b/wasabidisk/replay.go
@@ -51,7 +51,6 @@
 	entries  []*wasabistandv1.LogEntry
 	hard     *wasabistandv1.HardState
 	batch    uint64
-	open     bool // the last record was not the end of its batch
 	segments []segment
 }
 
@@ -62,51 +61,75 @@
 	return r.base
 }
 
-// segment reads one file. Records are applied in order up to the first that
-// is damaged, which ends the log if it can be the remains of a batch that was
+// placed is a record with its offset in a file.
+type placed struct {
+	record
+	offset int
+}
+
+// segment reads one file. Whole batches are applied in order up to the first
+// damaged one, which ends the log if it can be the remains of a batch that was
 // never synced.
 func (r *replay) segment(sequence uint64, b []byte) error {
 	name := filepath.Join(r.path, segmentName(sequence))
-	g := segment{sequence: sequence, size: int64(len(b))}
+	g := segment{sequence: sequence}
+	list, end, err := r.scan(name, b)
+	if err != nil {
+		return err
+	}
+	for _, c := range list {
+		if g.sealed {
+			return corrupt(name, int64(c.offset), "record after the end mark")
+		}
+		if err := r.apply(&g, c.record); err != nil {
+			if e := new(CorruptError); errors.As(err, &e) {
+				e.File, e.Offset = name, int64(c.offset)
+			}
+			return err
+		}
+	}
+	g.size = int64(end)
+	if end < len(b) {
+		g.torn = &TornTail{File: name, Offset: int64(end), Bytes: int64(len(b) - end)}
+	}
+	r.segments = append(r.segments, g)
+	return nil
+}
+
+// scan returns the records of whole batches and where the last of them ends.
+func (r *replay) scan(name string, b []byte) (list []placed, end int, err error) {
+	whole, open, batch := 0, false, r.batch
 	for offset := 0; offset < len(b); {
 		c, version, ok := parseRecord(b[offset:])
 		if !ok {
-			// The damaged record belongs to the batch before it, or to the next
-			// one when that batch is whole.
-			damaged := r.batch
-			if !r.open {
+			// The damaged record belongs to the batch before it, or to the
+			// next one when that batch is whole.
+			damaged := batch
+			if !open {
 				damaged++
 			}
 			if laterBatch(b[offset+1:], damaged) {
-				return corrupt(name, int64(offset), "checksum does not match, and later records are intact")
+				return nil, 0, corrupt(name, int64(offset), "checksum does not match, and later records are intact")
 			}
-			g.torn = &TornTail{File: name, Offset: int64(offset), Bytes: int64(len(b) - offset)}
-			g.size = int64(offset)
 			break
 		}
 		if version > Version {
-			return ErrNewerFormat.New("%s at offset %d has format %d: this release reads up to %d", name, offset, version, Version)
+			return nil, 0, ErrNewerFormat.New("%s at offset %d has format %d: this release reads up to %d", name, offset, version, Version)
 		}
 		if (offset == 0) != (c.kind == kindHeader) {
-			return corrupt(name, int64(offset), "record kind %d is out of place", c.kind)
-		}
-		if c.batch < r.batch {
-			return corrupt(name, int64(offset), "batch %d after batch %d", c.batch, r.batch)
-		}
-		if g.sealed {
-			return corrupt(name, int64(offset), "record after the end mark")
+			return nil, 0, corrupt(name, int64(offset), "record kind %d is out of place", c.kind)
 		}
-		if err := r.apply(&g, c); err != nil {
-			if e := new(CorruptError); errors.As(err, &e) {
-				e.File, e.Offset = name, int64(offset)
-			}
-			return err
+		if c.batch < batch || open && c.batch != batch {
+			return nil, 0, corrupt(name, int64(offset), "batch %d after batch %d", c.batch, batch)
 		}
-		r.batch, r.open = c.batch, !c.end
+		list = append(list, placed{c, offset})
+		batch, open = c.batch, !c.end
 		offset += c.size
+		if !open {
+			r.batch, end, whole = batch, offset, len(list)
+		}
 	}
-	r.segments = append(r.segments, g)
-	return nil
+	return list[:whole], end, nil
 }
 
 func (r *replay) apply(g *segment, c record) error {
--- a/wasabidisk/store.go
+++ b/wasabidisk/store.go
@@ -68,6 +68,7 @@
 	closed bool
 
 	active   File
+	unsealed File      // the segment before the active one, until it is sealed
 	segments []segment // the last one is active
 	batch    uint64
 	last     position
@@ -184,15 +185,6 @@
 	if snap != nil {
 		s.state.Entries, reset = afterSnapshot(r, position{snap.GetIndex(), snap.GetTerm()})
 	}
-	if n := len(s.state.Entries); n > 0 && s.state.Entries[n-1].GetTerm() > r.hard.GetTerm() {
-		// The hard state of the last batch was cut off. A vote in the entry's
-		// term would have been synced in an earlier batch.
-		h := &wasabistandv1.HardState{Term: s.state.Entries[n-1].GetTerm()}
-		if r.hard != nil {
-			h.CommitIndex, h.Bootstrapped, h.Admitted = r.hard.CommitIndex, r.hard.Bootstrapped, r.hard.Admitted
-		}
-		s.hard = h
-	}
 	s.state.HardState = s.hard
 	if err := s.resume(r); err != nil {
 		return err
@@ -249,7 +241,7 @@
 			continue
 		}
 		if !isLast {
-			err = s.seal(g)
+			err = s.seal(f, g)
 			if err := errors.Join(err, f.Close()); err != nil {
 				return err
 			}
@@ -285,10 +277,9 @@
 			return err
 		}
 	}
-	b, err := s.buffer[:0], error(nil)
+	var err error
+	b := s.buffer[:0]
 	last, maxIndex := s.last, uint64(0)
-	// Entries come first, so that a hard state is never durable without the
-	// entries that its commit index counts.
 	for i, e := range entries {
 		if e.GetIndex() == 0 || e.GetIndex() > last.index+1 {
 			return s.fail(Error.New("entry %d after entry %d", e.GetIndex(), last.index))
@@ -360,7 +351,11 @@
 	if err := s.usable(); err != nil {
 		return err
 	}
-	for len(s.segments) > 1 && s.segments[0].maxIndex <= index {
+	keep := 1
+	if s.unsealed != nil {
+		keep = 2
+	}
+	for len(s.segments) > keep && s.segments[0].maxIndex <= index {
 		if err := s.fs.Remove(filepath.Join(s.path, segmentName(s.segments[0].sequence))); err != nil {
 			return s.fail(classify(err))
 		}
@@ -395,7 +390,11 @@
 	if s.active == nil {
 		return nil
 	}
-	return Error.Wrap(s.active.Close())
+	err = s.active.Close()
+	if s.unsealed != nil {
+		err = errors.Join(err, s.unsealed.Close())
+	}
+	return Error.Wrap(err)
 }
 
 // String names the implementation.
--- a/wasabidisk/write.go
+++ b/wasabidisk/write.go
@@ -32,21 +32,25 @@
 
 // write appends one batch to the active segment and syncs it.
 func (s *Store) write(b []byte) error {
-	g := &s.segments[len(s.segments)-1]
-	return s.writeTo(g, b)
+	if s.unsealed != nil {
+		if err := s.sealOld(); err != nil {
+			return err
+		}
+	}
+	return s.writeTo(s.active, &s.segments[len(s.segments)-1], b)
 }
 
-func (s *Store) writeTo(g *segment, b []byte) error {
-	if _, err := s.active.Write(b); err != nil {
+func (s *Store) writeTo(f File, g *segment, b []byte) error {
+	if _, err := f.Write(b); err != nil {
 		if !isFull(err) {
 			return s.fail(err)
 		}
-		if cut := s.active.Truncate(g.size); cut != nil {
+		if cut := f.Truncate(g.size); cut != nil {
 			return s.fail(errors.Join(err, cut))
 		}
 		return ErrFull.Wrap(err)
 	}
-	if err := s.active.Sync(); err != nil {
+	if err := f.Sync(); err != nil {
 		return s.fail(err)
 	}
 	g.size += int64(len(b))
@@ -106,21 +110,25 @@
 // durable, so a sealed last segment proves that files are missing.
 func (s *Store) roll() error {
 	old := s.active
-	n := len(s.segments)
-	if err := s.create(s.segments[n-1].sequence + 1); err != nil {
+	if err := s.create(s.segments[len(s.segments)-1].sequence + 1); err != nil {
 		return err
 	}
-	next := s.active
-	s.active = old
-	err := s.seal(&s.segments[n-1])
-	s.active = next
-	if err != nil {
-		return s.fail(err)
+	s.unsealed = old
+	return s.sealOld()
+}
+
+// sealOld seals the segment before the active one. Nothing else is written
+// before it has succeeded.
+func (s *Store) sealOld() error {
+	old := s.unsealed
+	if err := s.seal(old, &s.segments[len(s.segments)-2]); err != nil {
+		return err
 	}
+	s.unsealed = nil
 	return classify(old.Close())
 }
 
-func (s *Store) seal(g *segment) error {
+func (s *Store) seal(f File, g *segment) error {
 	b, err := appendBytes(nil, kindSeal|endOfBatch, s.batch, nil)
 	if err != nil {
 		return err
@@ -128,7 +136,7 @@
 	// The batch number is that of the next segment's header, so that numbers
 	// never fall from one segment to the next.
 	s.batch--
-	if err := s.writeTo(g, b); err != nil {
+	if err := s.writeTo(f, g, b); err != nil {
 		s.batch++
 		return err
 	}
--- a/wasabiraft/runner.go
+++ b/wasabiraft/runner.go
@@ -85,7 +85,6 @@
 	waiting   map[uint64]*proposal
 	confirmed []*confirmBatch
 	changes   map[uint64]chan error
-	lists     int
 }
 
 type leaderInfo struct {
