Admit no replaced disk again, and answer before stepping down

- A late message of a disk that had been replaced since made the leader admit it again in place of the newer disk, which then was stuck.
A joining disk must now answer a heartbeat sent after the latest change under its name.
- A leader that committed its own removal stepped down before it answered the caller, who got an unknown outcome.
Runner now applies first.
- On a full disk proposals that were already taken waited for room instead of getting an unknown outcome at once.

The test of a removed leader let a queued message through and passed without the fix that it is for; it now drops the queue, and fails without the fix.

--- a/wasabiraft/found_test.go
+++ b/wasabiraft/found_test.go
@@ -23,6 +23,7 @@
 	_, _, err := l.replica.ChangeMembers(s.now, wasabiraft.MemberChange{Remove: l.id})
 	assert.NilError(t, err)
 	s.pump(l)
+	s.queue = nil // nobody hears of it
 	s.crash(l)
 	other := s.pick()
 	s.crash(other)
@@ -105,3 +106,49 @@
 		})
 	}
 }
+
+// TestLateAnswerOfReplacedDisk guards against a disk that is admitted again by
+// a late message, in place of the one that has replaced it.
+func TestLateAnswerOfReplacedDisk(t *testing.T) {
+	s := newSim(1, 3, "")
+	s.run(time.Second)
+	l := s.leader()
+	h := s.hosts[0]
+	if h == l {
+		h = s.hosts[1]
+	}
+	replace := func() {
+		s.crash(h)
+		h.fs, h.storage, h.join = wasabifault.New(), "", true
+		s.start(h)
+	}
+	replace()
+	var late []packet
+	for range 100 {
+		s.run(time.Millisecond)
+		for _, p := range s.queue {
+			if p.m.GetFromStorage() == h.storage && p.m.GetFromJoining() {
+				late = append(late, p)
+			}
+		}
+	}
+	assert.Assert(t, len(late) > 0)
+	replace()
+	s.run(time.Second)
+	listed := func() string {
+		for _, m := range l.replica.Members().GetMembers() {
+			if m.GetId() == h.id && m.GetVoter() {
+				return m.GetStorage()
+			}
+		}
+		return ""
+	}
+	assert.Equal(t, listed(), h.storage)
+	for _, p := range late {
+		s.deliver(p.m)
+		s.run(time.Millisecond)
+		assert.Equal(t, listed(), h.storage)
+	}
+	s.settle()
+	assert.NilError(t, s.wrong)
+}
--- a/wasabiraft/replicate.go
+++ b/wasabiraft/replicate.go
@@ -25,6 +25,9 @@
 	storage  string // of the disk that counts
 	joining  string // of a new disk under this name
 	joined   time.Time
+	// joinAfter is the least heartbeat that a joining disk must answer: a late
+	// answer of a disk that was replaced since must not be admitted again.
+	joinAfter uint64
 }
 
 func (p *progress) heardSince(t time.Time) bool { return p != nil && p.heard.After(t) }
@@ -76,7 +79,10 @@
 	for _, m := range r.current().GetMembers() {
 		p := old[m.GetId()]
 		if p == nil || p.storage != "" && m.GetStorage() != "" && p.storage != m.GetStorage() {
-			p = &progress{next: r.log.last() + 1, probing: true, heard: now, storage: m.GetStorage()}
+			r.readSequence++
+			p = &progress{
+				next: r.log.last() + 1, probing: true, heard: now, storage: m.GetStorage(), joinAfter: r.readSequence,
+			}
 		}
 		r.progress[m.GetId()] = p
 	}
@@ -225,7 +231,7 @@
 		return
 	}
 	if !r.counts(findMember(r.current(), m.GetFrom()), m.GetFromStorage(), m.GetFromBootstrapped()) {
-		if m.GetFromJoining() {
+		if m.GetFromJoining() && m.GetKind() == wasabistandv1.GroupMessage_KIND_HEARTBEAT_RESPONSE && m.GetReadSequence() >= p.joinAfter {
 			p.joining, p.joined = m.GetFromStorage(), now
 			r.manageMembers(now)
 		}
--- a/wasabiraft/runner.go
+++ b/wasabiraft/runner.go
@@ -246,8 +246,8 @@
 func (r *Runner) process() error {
 	for {
 		d := r.replica.Ready()
-		r.noteLeader()
 		if d.Empty() {
+			r.noteLeader()
 			return nil
 		}
 		r.send(d.Now)
@@ -267,6 +267,9 @@
 			r.apply(e)
 		}
 		r.answerReads(d.Reads)
+		// After applying: a leader that steps down with this Ready answers
+		// what it has committed.
+		r.noteLeader()
 		r.takeSnapshot()
 	}
 }
@@ -297,6 +300,7 @@
 		if !r.full {
 			r.full = true
 			r.leader.Store(&leaderInfo{})
+			r.dropWaiting(wasabistand.ErrUnknownOutcome.New("disk full"))
 			r.record(wasabistand.EventGroupLeader, "disk", err.Error())
 		}
 		retry := time.NewTimer(fullRetry)
--- a/wasabiraft/runner_test.go
+++ b/wasabiraft/runner_test.go
@@ -66,6 +66,8 @@
 	list     []*wasabistandv1.Member
 	mu       sync.Mutex
 	nodes    map[string]*node
+	silent   map[string]bool          // members that are cut off
+	fs       map[string]wasabidisk.FS // instead of real files
 }
 
 type node struct {
@@ -75,7 +77,7 @@
 }
 
 func newGroup(t testing.TB, size int, s wasabiraft.Settings) *group {
-	g := &group{t: t, dir: t.TempDir(), settings: s, nodes: map[string]*node{}}
+	g := &group{t: t, dir: t.TempDir(), settings: s, nodes: map[string]*node{}, silent: map[string]bool{}, fs: map[string]wasabidisk.FS{}}
 	for i := range size {
 		id := fmt.Sprintf("c%d", i+1)
 		g.list = append(g.list, &wasabistandv1.Member{Id: id, Address: "address-" + id})
@@ -91,8 +93,9 @@
 func (g *group) Send(to, _ string, list []*wasabistandv1.GroupMessage) {
 	g.mu.Lock()
 	n := g.nodes[to]
+	cut := g.silent[to] || len(list) > 0 && g.silent[list[0].GetFrom()]
 	g.mu.Unlock()
-	if n == nil {
+	if n == nil || cut {
 		return
 	}
 	for _, m := range list {
@@ -101,7 +104,11 @@
 }
 
 func (g *group) start(id string, join bool) *node {
-	folder, err := wasabidisk.Open(wasabidisk.OS{}, filepath.Join(g.dir, id), "test")
+	var fs wasabidisk.FS = wasabidisk.OS{}
+	if f := g.fs[id]; f != nil {
+		fs = f
+	}
+	folder, err := wasabidisk.Open(fs, filepath.Join(g.dir, id), "test")
 	assert.NilError(g.t, err)
 	store, err := folder.Group("root", wasabidisk.Options{})
 	assert.NilError(g.t, err)
