Add control instances and the sessions of nodes

Cause: nodes need the configuration, the members of the services they call and claims, and operators need one place to change the configuration. Change: wasabicontrol drives the replicated groups, confirms each session with a quorum before its first configuration, pushes changes and membership deltas, exchanges announcements with the other control instances, batches claims and serves the operator API. wasabisession is the node's side. Result: with three control instances on loopback, a configuration applied at one reaches nodes of the two others, and a node learns an instance that was announced elsewhere (wasabicontrol test, with the race detector).

--- /dev/null
+++ b/wasabicontrol/cluster_test.go
@@ -0,0 +1,242 @@
+package wasabicontrol_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/wasabistand/wasabistand"
+	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
+	"github.com/wasabistand/wasabistand/gen/wasabistand/v1/wasabistandv1connect"
+	"github.com/wasabistand/wasabistand/wasabicontrol"
+	"github.com/wasabistand/wasabistand/wasabilink"
+	"github.com/wasabistand/wasabistand/wasabisession"
+)
+
+// waitBound ends a test that would hang. No verdict depends on it otherwise.
+const waitBound = 60 * time.Second
+
+// cluster is some control instances in one process, with real sockets and
+// disks.
+type cluster struct {
+	t         testing.TB
+	dir       string
+	ids       []string
+	links     map[string]string
+	apis      map[string]string
+	groups    []wasabicontrol.Group
+	instances map[string]*wasabicontrol.Instance
+	// isolated control instances reach no others; nodes still reach them.
+	isolated map[string]*atomic.Bool
+	change   func(wasabicontrol.Settings) wasabicontrol.Settings
+}
+
+func newCluster(t testing.TB, size int, change func(wasabicontrol.Settings) wasabicontrol.Settings) *cluster {
+	t.Helper()
+	c := &cluster{
+		t: t, dir: t.TempDir(), links: map[string]string{}, apis: map[string]string{},
+		instances: map[string]*wasabicontrol.Instance{}, isolated: map[string]*atomic.Bool{}, change: change,
+	}
+	root := wasabicontrol.Group{Name: wasabicontrol.RootGroup}
+	listeners := map[string][2]net.Listener{}
+	for i := range size {
+		id := fmt.Sprintf("control-%d", i+1)
+		c.ids = append(c.ids, id)
+		listeners[id] = [2]net.Listener{listen(t), listen(t)}
+		c.links[id], c.apis[id] = listeners[id][0].Addr().String(), listeners[id][1].Addr().String()
+		c.isolated[id] = new(atomic.Bool)
+		root.Members = append(root.Members, wasabicontrol.Member{ID: id, Address: c.links[id]})
+	}
+	c.groups = []wasabicontrol.Group{root}
+	t.Cleanup(c.close)
+	for _, id := range c.ids {
+		c.start(id, listeners[id])
+	}
+	return c
+}
+
+func listen(t testing.TB) net.Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	return ln
+}
+
+var errIsolated = errors.New("isolated")
+
+// cut is a connection that goes silent while any of its ends is isolated.
+type cut struct {
+	net.Conn
+	ends []*atomic.Bool
+}
+
+func (c *cut) Write(p []byte) (int, error) {
+	for _, e := range c.ends {
+		if e.Load() {
+			return len(p), nil
+		}
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *cluster) start(id string, listeners [2]net.Listener) {
+	c.t.Helper()
+	log := zerolog.Nop()
+	s := wasabicontrol.NewSettings("test", id, filepath.Join(c.dir, id)).
+		WithAddresses(c.links[id], c.apis[id]).WithGroups(c.groups...).
+		WithLocation(wasabistand.Location{Region: "here", FailureDomain: id}).
+		WithLease(time.Second).
+		WithTokens(
+			wasabicontrol.Token{Name: "committee", Token: changeToken, Right: wasabicontrol.Change},
+			wasabicontrol.Token{Name: "board", Token: readToken, Right: wasabicontrol.Read},
+		)
+	if c.change != nil {
+		s = c.change(s)
+	}
+	i, err := wasabicontrol.New(s, wasabicontrol.Parts{
+		Log: &log, LinkListener: listeners[0], APIListener: listeners[1],
+		Links: func(o wasabilink.Options) wasabilink.Options { return o.WithDial(c.dial(id)) },
+	})
+	assert.NilError(c.t, err)
+	assert.NilError(c.t, i.Start())
+	c.instances[id] = i
+}
+
+// dial connects control instances unless one of them is isolated.
+func (c *cluster) dial(from string) wasabilink.DialFunc {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		ends := []*atomic.Bool{c.isolated[from]}
+		for id, a := range c.links {
+			if a == address {
+				ends = append(ends, c.isolated[id])
+			}
+		}
+		for _, e := range ends {
+			if e.Load() {
+				return nil, errIsolated
+			}
+		}
+		var d net.Dialer
+		conn, err := d.DialContext(ctx, "tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		return &cut{Conn: conn, ends: ends}, nil
+	}
+}
+
+func (c *cluster) close() {
+	for id := range c.instances {
+		c.kill(id)
+	}
+}
+
+func (c *cluster) kill(id string) {
+	assert.Check(c.t, c.instances[id].Close())
+	delete(c.instances, id)
+}
+
+const (
+	changeToken = "a-token-that-may-change"
+	readToken   = "a-token-that-may-only-read"
+)
+
+func (c *cluster) operator(id, token string) wasabistandv1connect.OperatorServiceClient {
+	bearer := connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx context.Context, r connect.AnyRequest) (connect.AnyResponse, error) {
+			r.Header().Set("Authorization", "Bearer "+token)
+			return next(ctx, r)
+		}
+	})
+	return wasabistandv1connect.NewOperatorServiceClient(http.DefaultClient, "http://"+c.apis[id], connect.WithInterceptors(bearer))
+}
+
+func identity(name string) *wasabistandv1.CommandIdentity {
+	return &wasabistandv1.CommandIdentity{Id: name + "-0123456789abcdef", IssuedUnixMs: time.Now().UnixMilli()}
+}
+
+func document(patience string) string {
+	return "[[Callers]]\nName = \"office\"\nPatience = \"" + patience + "\"\n"
+}
+
+func (c *cluster) apply(id string, r *wasabistandv1.ApplyRequest) (*wasabistandv1.ApplyResponse, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), waitBound)
+	defer cancel()
+	answer, err := c.operator(id, changeToken).Apply(ctx, connect.NewRequest(r))
+	if err != nil {
+		return nil, err
+	}
+	return answer.Msg, nil
+}
+
+func (c *cluster) mustApply(id string, expected uint64, name, patience string) uint64 {
+	c.t.Helper()
+	r := &wasabistandv1.ApplyRequest{Command: identity(name), ExpectedRevision: expected, Toml: document(patience)}
+	// The first command may come before the first election.
+	for {
+		a, err := c.apply(id, r)
+		if err == nil {
+			return a.GetRevision()
+		}
+		assert.Equal(c.t, connect.CodeOf(err), connect.CodeUnavailable, "%v", err)
+	}
+}
+
+// node is a stand-in for a node: a session with its pool.
+type node struct {
+	*wasabisession.Session
+	pool *wasabilink.Pool
+}
+
+func (c *cluster) node(id, service string, incarnation uint64, controls ...string) *node {
+	c.t.Helper()
+	var addresses []string
+	for _, k := range controls {
+		addresses = append(addresses, c.links[k])
+	}
+	pool := wasabilink.NewPool(wasabilink.NewOptions("test", id, incarnation), nil)
+	o := wasabisession.NewOptions(addresses...).WithBackoff(20*time.Millisecond, 50*time.Millisecond, 500*time.Millisecond)
+	n := &node{pool: pool, Session: wasabisession.New(o, pool, wasabistand.Instance{
+		ID: id, Incarnation: incarnation, Service: service, LinkAddress: "127.0.0.1:1", Slots: 10, Connections: 100,
+		State: wasabistand.Ready, Location: wasabistand.Location{Region: "here", FailureDomain: "a"},
+	}, nil)}
+	c.t.Cleanup(n.close)
+	return n
+}
+
+func (n *node) close() {
+	_ = n.Close()
+	_ = n.pool.Close()
+}
+
+// await returns the first view that ok accepts.
+func (n *node) await(t testing.TB, what string, ok func(*wasabistand.View) bool) *wasabistand.View {
+	t.Helper()
+	bound := time.NewTimer(waitBound)
+	defer bound.Stop()
+	for {
+		changed := n.Changed()
+		if v := n.View(); v != nil && ok(v) {
+			return v
+		}
+		select {
+		case <-changed:
+		case <-bound.C:
+			t.Fatalf("no view: %s; latest %+v", what, n.View())
+		}
+	}
+}
+
+func atLeast(revision uint64) func(*wasabistand.View) bool {
+	return func(v *wasabistand.View) bool { return v.Revision >= revision }
+}
--- /dev/null
+++ b/wasabicontrol/confirm.go
@@ -0,0 +1,99 @@
+package wasabicontrol
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/wasabistand/wasabistand"
+)
+
+// confirmer asks the quorum of one group on behalf of many: callers that
+// arrive while one round is on its way share the next one, which starts after
+// their arrival.
+type confirmer struct {
+	log     wasabistand.ReplicatedLog
+	timeout time.Duration
+	last    atomic.Int64 // start of the latest round that succeeded
+
+	mu      sync.Mutex
+	next    *round
+	running bool
+	closed  bool
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wait    sync.WaitGroup
+}
+
+type round struct {
+	done chan struct{}
+	err  error
+}
+
+func newConfirmer(l wasabistand.ReplicatedLog, timeout time.Duration) *confirmer {
+	c := &confirmer{log: l, timeout: timeout}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	return c
+}
+
+// confirm returns once the local state holds everything that was committed
+// before the call.
+func (c *confirmer) confirm(ctx context.Context) error {
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return wasabistand.ErrNotConfirmed.New("stopping")
+	}
+	if c.next == nil {
+		c.next = &round{done: make(chan struct{})}
+	}
+	r := c.next
+	if !c.running {
+		c.running = true
+		c.wait.Go(c.run)
+	}
+	c.mu.Unlock()
+	select {
+	case <-r.done:
+		return r.err
+	case <-ctx.Done():
+		return wasabistand.ErrNotConfirmed.Wrap(ctx.Err())
+	}
+}
+
+func (c *confirmer) run() {
+	for {
+		c.mu.Lock()
+		r := c.next
+		c.next = nil
+		if r == nil {
+			c.running = false
+			c.mu.Unlock()
+			return
+		}
+		c.mu.Unlock()
+		ctx, cancel := context.WithTimeout(c.ctx, c.timeout)
+		start := time.Now()
+		if err := c.log.Confirm(ctx); err != nil {
+			r.err = wasabistand.ErrNotConfirmed.Wrap(err)
+		} else {
+			c.last.Store(start.UnixNano())
+		}
+		cancel()
+		close(r.done)
+	}
+}
+
+// age returns how long ago a quorum confirmed the state.
+func (c *confirmer) age(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, c.last.Load()))
+}
+
+func (c *confirmer) close() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	c.cancel()
+	c.wait.Wait()
+}
--- /dev/null
+++ b/wasabicontrol/instance.go
@@ -0,0 +1,296 @@
+package wasabicontrol
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/wasabistand/wasabistand"
+	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
+	"github.com/wasabistand/wasabistand/wasabidisk"
+	"github.com/wasabistand/wasabistand/wasabievent"
+	"github.com/wasabistand/wasabistand/wasabilink"
+	"github.com/wasabistand/wasabistand/wasabiraft"
+)
+
+// Parts are what a control instance is built from. Each may be left out.
+type Parts struct {
+	Log    *zerolog.Logger
+	Clock  *wasabievent.Clock
+	Events *wasabievent.Ring
+	// LinkListener and APIListener replace those that Start opens.
+	LinkListener net.Listener
+	APIListener  net.Listener
+	// Links changes the settings of links, nil for the defaults.
+	Links func(wasabilink.Options) wasabilink.Options
+	// Raft replaces the log's settings when it is not the zero value.
+	Raft wasabiraft.Settings
+	// Disk replaces the operating system's file system.
+	Disk wasabidisk.FS
+}
+
+// Instance is one control instance. It is safe for concurrent use.
+type Instance struct {
+	settings Settings
+	parts    Parts
+	log      zerolog.Logger
+	metrics  *metrics
+
+	folder   *wasabidisk.Folder
+	groups   map[string]*group
+	adopters []chan struct{}
+	pool     *wasabilink.Pool
+	hub      *hub
+	links    *wasabilink.Listener
+	api      *http.Server
+	stopping atomic.Bool
+
+	// ready is closed once all parts are there; streams wait for it.
+	ready  chan struct{}
+	ctx    context.Context
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
+	once   sync.Once
+	err    error
+}
+
+// New checks the settings and returns an instance that has not started.
+func New(s Settings, p Parts) (*Instance, error) {
+	if len(s.groups) == 0 {
+		s.groups = []Group{{Name: RootGroup, Members: []Member{{ID: s.id, Address: s.linkAddress}}}}
+	}
+	if err := s.check(); err != nil {
+		return nil, err
+	}
+	if p.Clock == nil {
+		p.Clock = wasabievent.NewClock(time.Now)
+	}
+	if p.Events == nil {
+		p.Events = wasabievent.NewRing(s.id, 10_000, p.Clock)
+	}
+	if p.Disk == nil {
+		p.Disk = wasabidisk.OS{}
+	}
+	if p.Raft == (wasabiraft.Settings{}) {
+		p.Raft = wasabiraft.NewSettings()
+	}
+	i := &Instance{settings: s, parts: p, groups: map[string]*group{}, ready: make(chan struct{})}
+	if p.Log != nil {
+		i.log = *p.Log
+	} else {
+		i.log = zerolog.New(zerolog.ConsoleWriter{Out: os.Stderr, NoColor: true, TimeFormat: time.RFC3339}).With().Timestamp().Logger()
+	}
+	i.log = i.log.With().Str("control", s.id).Logger()
+	i.ctx, i.cancel = context.WithCancel(context.Background())
+	i.metrics = newMetrics(i)
+	return i, nil
+}
+
+// Start opens the data folder, joins the groups and begins to serve.
+func (i *Instance) Start() error {
+	if err := i.start(); err != nil {
+		_ = i.Close()
+		return Error.Wrap(err)
+	}
+	i.log.Info().Str("links", i.settings.linkAddress).Str("api", i.settings.apiAddress).Msg("control instance started")
+	return nil
+}
+
+func (i *Instance) start() (err error) {
+	o := wasabilink.NewOptions(i.settings.cluster, i.settings.id, uint64(time.Now().UnixNano())).
+		WithClock(i.parts.Clock).WithMaxFrameBytes(linkFrameBytes).WithMaxLinks(2 * i.settings.maxSessions)
+	if i.parts.Links != nil {
+		o = i.parts.Links(o)
+	}
+	if i.parts.LinkListener == nil {
+		if i.parts.LinkListener, err = net.Listen("tcp", i.settings.linkAddress); err != nil {
+			return err
+		}
+	}
+	if i.parts.APIListener == nil {
+		if i.parts.APIListener, err = net.Listen("tcp", i.settings.apiAddress); err != nil {
+			return err
+		}
+	}
+	if i.folder, err = wasabidisk.Open(i.parts.Disk, i.settings.folder, i.settings.cluster); err != nil {
+		return err
+	}
+	i.pool = wasabilink.NewPool(o, nil)
+	i.hub = newHub(i)
+	for _, g := range i.settings.groups {
+		if !g.has(i.settings.id) {
+			continue
+		}
+		own, err := openGroup(i.settings, g, i.folder, i.parts.Raft, i.pool, i.parts.Events, func() { signal(i.hub.changed) })
+		if err != nil {
+			return err
+		}
+		i.groups[g.Name] = own
+	}
+	for name, g := range i.groups {
+		i.wait.Go(func() { i.keepConfirming(g) })
+		if name != RootGroup {
+			wake := make(chan struct{}, 1)
+			i.adopters = append(i.adopters, wake)
+			i.wait.Go(func() { i.runAdopter(i.ctx, g, wake) })
+		}
+	}
+	// The listener starts last but one, since its streams use all the rest;
+	// the others retry until then.
+	i.links = wasabilink.Serve(i.parts.LinkListener, o, i.serveStream)
+	go i.hub.run()
+	i.wait.Go(func() { i.watchDirectory(i.ctx) })
+	close(i.ready)
+	i.serveAPI()
+	return nil
+}
+
+// linkFrameBytes is above the largest command with its frame.
+const linkFrameBytes = 8 << 20
+
+func (i *Instance) serveStream(ctx context.Context, kind wasabistandv1.StreamOpen_Kind, s *wasabilink.Stream) {
+	select {
+	case <-i.ready:
+	case <-i.ctx.Done():
+		return
+	}
+	switch kind {
+	case wasabistandv1.StreamOpen_KIND_SESSION:
+		i.serveSession(ctx, s)
+	case wasabistandv1.StreamOpen_KIND_CLAIMS:
+		i.serveClaims(s)
+	case wasabistandv1.StreamOpen_KIND_GROUP:
+		i.serveGroup(s)
+	case wasabistandv1.StreamOpen_KIND_MEMBERS:
+		i.serveMembers(s)
+	case wasabistandv1.StreamOpen_KIND_FORWARD:
+		i.serveForward(ctx, s)
+	default:
+		i.log.Warn().Str("peer", s.Link().Peer().Instance).Int32("kind", int32(kind)).Msg("stream of a kind that is not served")
+	}
+}
+
+func (i *Instance) serveGroup(s *wasabilink.Stream) {
+	for {
+		f := new(wasabistandv1.GroupFrame)
+		if s.Receive(f) != nil {
+			return
+		}
+		g := i.groups[f.GetGroup()]
+		if g == nil || f.GetCluster() != i.settings.cluster {
+			i.log.Warn().Str("peer", s.Link().Peer().Instance).Str("group", f.GetGroup()).Msg("messages of a group that is not served")
+			return
+		}
+		for _, m := range f.GetMessages() {
+			g.runner.Step(m)
+		}
+	}
+}
+
+// keepConfirming asks the quorum often enough to notice its loss.
+func (i *Instance) keepConfirming(g *group) {
+	t := time.NewTicker(i.settings.confirmEvery)
+	defer t.Stop()
+	for {
+		_ = g.confirmer.confirm(i.ctx)
+		select {
+		case <-i.ctx.Done():
+			return
+		case <-g.runner.Done():
+			if err := g.runner.Err(); err != nil {
+				i.log.Error().Str("group", g.settings.Name).Err(err).Msg("replica stopped")
+			}
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// confirmed reports whether all groups had a quorum lately.
+func (i *Instance) confirmed() bool {
+	for _, g := range i.groups {
+		if g.confirmer.age(time.Now()) > i.settings.unconfirmedAfter {
+			return false
+		}
+	}
+	return true
+}
+
+// Shutdown hands over leadership, sends the sessions elsewhere and closes.
+// The context bounds the handing over.
+func (i *Instance) Shutdown(ctx context.Context) error {
+	if i.stopping.Swap(true) {
+		return i.Close()
+	}
+	i.log.Info().Msg("control instance stops")
+	i.parts.Events.Record(wasabistand.Event{Kind: wasabistand.EventShutdown})
+	var failed []error
+	for _, g := range i.groups {
+		if err := g.runner.Transfer(ctx); err != nil {
+			failed = append(failed, err)
+		}
+	}
+	if i.hub != nil && i.links != nil {
+		var list []*outbox
+		i.hub.do(func() { list = i.hub.stopSessions() })
+		i.links.GoAway(reasonStopping)
+		// Each refusal is sent or given up within its own bound.
+		for _, o := range list {
+			o.wait.Wait()
+		}
+	}
+	if i.api != nil {
+		failed = append(failed, i.api.Shutdown(ctx))
+	}
+	return errors.Join(append(failed, i.Close())...)
+}
+
+// Close ends everything at once and waits.
+func (i *Instance) Close() error {
+	i.once.Do(func() { i.err = i.close() })
+	return i.err
+}
+
+func (i *Instance) close() error {
+	i.stopping.Store(true)
+	i.cancel()
+	var failed []error
+	if i.api != nil {
+		_ = i.api.Close()
+	}
+	for _, ln := range []net.Listener{i.parts.LinkListener, i.parts.APIListener} {
+		if ln != nil {
+			_ = ln.Close()
+		}
+	}
+	if i.links != nil {
+		close(i.hub.stop)
+		<-i.hub.done
+		failed = append(failed, i.links.Close())
+		for _, p := range i.hub.peers {
+			p.close()
+		}
+		i.hub.wait.Wait()
+	}
+	i.wait.Wait()
+	for _, g := range i.groups {
+		failed = append(failed, g.close())
+	}
+	if i.pool != nil {
+		failed = append(failed, i.pool.Close())
+	}
+	if i.folder != nil {
+		failed = append(failed, i.folder.Close())
+	}
+	return errors.Join(failed...)
+}
+
+// String names the instance.
+func (i *Instance) String() string { return "control(" + i.settings.id + ")" }
--- /dev/null
+++ b/wasabicontrol/metrics.go
@@ -0,0 +1,88 @@
+package wasabicontrol
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// metrics are the instance's own, in base units.
+type metrics struct {
+	registry      *prometheus.Registry
+	sessionsEnded *prometheus.CounterVec
+	claimsRefused prometheus.Counter
+}
+
+func newMetrics(i *Instance) *metrics {
+	m := &metrics{
+		registry:      prometheus.NewRegistry(),
+		sessionsEnded: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "wasabi_control_sessions_ended_total", Help: "Sessions that this control instance refused or dropped, by reason."}, []string{"reason"}),
+		claimsRefused: prometheus.NewCounter(prometheus.CounterOpts{Name: "wasabi_control_claims_refused_total", Help: "Claim requests for which the queue had no room."}),
+	}
+	m.registry.MustRegister(m.sessionsEnded, m.claimsRefused, &collector{instance: i})
+	return m
+}
+
+func (m *metrics) handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{MaxRequestsInFlight: 4})
+}
+
+var (
+	descSessions  = prometheus.NewDesc("wasabi_control_sessions", "Sessions served.", nil, nil)
+	descInstances = prometheus.NewDesc("wasabi_control_instances", "Upstream instances listed.", nil, nil)
+	descSuspect   = prometheus.NewDesc("wasabi_control_instances_suspect", "Upstream instances kept after a mass expiry.", nil, nil)
+	descRevision  = prometheus.NewDesc("wasabi_control_revision", "Latest revision accepted.", []string{"group"}, nil)
+	descLeader    = prometheus.NewDesc("wasabi_control_group_leader", "1 while this instance leads the group.", []string{"group"}, nil)
+	descTerm      = prometheus.NewDesc("wasabi_control_group_term", "Term of the group.", []string{"group"}, nil)
+	descCommit    = prometheus.NewDesc("wasabi_control_group_commit_index", "Last committed index known.", []string{"group"}, nil)
+	descFull      = prometheus.NewDesc("wasabi_control_group_disk_full", "1 while the replica waits for room on the disk.", []string{"group"}, nil)
+	descClaims    = prometheus.NewDesc("wasabi_control_claims", "Claims in the table.", []string{"group"}, nil)
+	descRequests  = prometheus.NewDesc("wasabi_control_claim_requests_total", "Claim requests proposed here.", []string{"group"}, nil)
+	descBatches   = prometheus.NewDesc("wasabi_control_claim_batches_total", "Commands that held them.", []string{"group"}, nil)
+)
+
+// collector reads the instance when metrics are asked for.
+type collector struct{ instance *Instance }
+
+// Describe implements prometheus.Collector.
+func (c *collector) Describe(d chan<- *prometheus.Desc) {
+	for _, k := range []*prometheus.Desc{descSessions, descInstances, descSuspect, descRevision, descLeader, descTerm, descCommit, descFull, descClaims, descRequests, descBatches} {
+		d <- k
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (c *collector) Collect(out chan<- prometheus.Metric) {
+	gauge := func(d *prometheus.Desc, v float64, labels ...string) {
+		out <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
+	}
+	i := c.instance
+	var sessions, listed, suspect int
+	if i.hub != nil && i.hub.do(func() {
+		stats := i.hub.registry.Stats()
+		sessions, listed, suspect = len(i.hub.sessions), stats.Listed, stats.Suspect
+	}) {
+		gauge(descSessions, float64(sessions))
+		gauge(descInstances, float64(listed))
+		gauge(descSuspect, float64(suspect))
+	}
+	for name, g := range i.groups {
+		s := g.runner.Status()
+		gauge(descRevision, float64(g.machine.current.Load().revision), name)
+		gauge(descLeader, flag(g.leads(i.settings.id)), name)
+		gauge(descTerm, float64(s.Term), name)
+		gauge(descCommit, float64(s.Commit), name)
+		gauge(descFull, flag(s.Full), name)
+		gauge(descClaims, float64(g.machine.claims().Total()), name)
+		out <- prometheus.MustNewConstMetric(descRequests, prometheus.CounterValue, float64(g.claims.requests.Load()), name)
+		out <- prometheus.MustNewConstMetric(descBatches, prometheus.CounterValue, float64(g.claims.batches.Load()), name)
+	}
+}
+
+func flag(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
