Test control instances and sessions under faults

Cause: the promises about configurations and claims hold under faults only if nothing in the shells breaks them. Tests of the session with a stand-in control instance cover older revisions, documents that do not parse, deltas that do not fit, late grants, lost answers and full queues.

--- a/wasabicontrol/cluster_test.go
+++ b/wasabicontrol/cluster_test.go
@@ -36,16 +36,19 @@
 	apis      map[string]string
 	groups    []wasabicontrol.Group
 	instances map[string]*wasabicontrol.Instance
-	// isolated control instances reach no others; nodes still reach them.
-	isolated map[string]*atomic.Bool
-	change   func(wasabicontrol.Settings) wasabicontrol.Settings
+	// sides of a partition: control instances reach those of their own side;
+	// nodes reach all.
+	sides  map[string]*atomic.Int32
+	change func(wasabicontrol.Settings) wasabicontrol.Settings
 }
 
-func newCluster(t testing.TB, size int, change func(wasabicontrol.Settings) wasabicontrol.Settings) *cluster {
+// newCluster starts a cluster whose first members also form the home group of
+// the region "here", none for 0.
+func newCluster(t testing.TB, size, home int, change func(wasabicontrol.Settings) wasabicontrol.Settings) *cluster {
 	t.Helper()
 	c := &cluster{
 		t: t, dir: t.TempDir(), links: map[string]string{}, apis: map[string]string{},
-		instances: map[string]*wasabicontrol.Instance{}, isolated: map[string]*atomic.Bool{}, change: change,
+		instances: map[string]*wasabicontrol.Instance{}, sides: map[string]*atomic.Int32{}, change: change,
 	}
 	root := wasabicontrol.Group{Name: wasabicontrol.RootGroup}
 	listeners := map[string][2]net.Listener{}
@@ -54,10 +57,13 @@
 		c.ids = append(c.ids, id)
 		listeners[id] = [2]net.Listener{listen(t), listen(t)}
 		c.links[id], c.apis[id] = listeners[id][0].Addr().String(), listeners[id][1].Addr().String()
-		c.isolated[id] = new(atomic.Bool)
+		c.sides[id] = new(atomic.Int32)
 		root.Members = append(root.Members, wasabicontrol.Member{ID: id, Address: c.links[id]})
 	}
 	c.groups = []wasabicontrol.Group{root}
+	if home > 0 {
+		c.groups = append(c.groups, wasabicontrol.Group{Name: "home", Region: "here", Members: root.Members[:home]})
+	}
 	t.Cleanup(c.close)
 	for _, id := range c.ids {
 		c.start(id, listeners[id])
@@ -74,17 +80,15 @@
 
 var errIsolated = errors.New("isolated")
 
-// cut is a connection that goes silent while any of its ends is isolated.
+// cut is a connection that goes silent while its ends are on two sides.
 type cut struct {
 	net.Conn
-	ends []*atomic.Bool
+	from, to *atomic.Int32
 }
 
 func (c *cut) Write(p []byte) (int, error) {
-	for _, e := range c.ends {
-		if e.Load() {
-			return len(p), nil
-		}
+	if c.from.Load() != c.to.Load() {
+		return len(p), nil
 	}
 	return c.Conn.Write(p)
 }
@@ -112,27 +116,37 @@
 	c.instances[id] = i
 }
 
-// dial connects control instances unless one of them is isolated.
+// dial connects control instances of one side.
 func (c *cluster) dial(from string) wasabilink.DialFunc {
 	return func(ctx context.Context, address string) (net.Conn, error) {
-		ends := []*atomic.Bool{c.isolated[from]}
+		to := c.sides[from]
 		for id, a := range c.links {
 			if a == address {
-				ends = append(ends, c.isolated[id])
+				to = c.sides[id]
 			}
 		}
-		for _, e := range ends {
-			if e.Load() {
-				return nil, errIsolated
-			}
+		if c.sides[from].Load() != to.Load() {
+			return nil, errIsolated
 		}
 		var d net.Dialer
 		conn, err := d.DialContext(ctx, "tcp", address)
 		if err != nil {
 			return nil, err
 		}
-		return &cut{Conn: conn, ends: ends}, nil
+		return &cut{Conn: conn, from: c.sides[from], to: to}, nil
+	}
+}
+
+// restart starts a stopped instance on its old folder and addresses.
+func (c *cluster) restart(id string) {
+	c.t.Helper()
+	var list [2]net.Listener
+	for k, a := range []string{c.links[id], c.apis[id]} {
+		ln, err := net.Listen("tcp", a)
+		assert.NilError(c.t, err)
+		list[k] = ln
 	}
+	c.start(id, list)
 }
 
 func (c *cluster) close() {
@@ -196,6 +210,18 @@
 type node struct {
 	*wasabisession.Session
 	pool *wasabilink.Pool
+	// downs gets the reason of each session that ended.
+	downs chan wasabistand.Reason
+}
+
+// Record implements wasabistand.Recorder.
+func (n *node) Record(e wasabistand.Event) {
+	if e.Kind == wasabistand.EventSessionDown {
+		select {
+		case n.downs <- e.Reason:
+		default:
+		}
+	}
 }
 
 func (c *cluster) node(id, service string, incarnation uint64, controls ...string) *node {
@@ -206,14 +232,19 @@
 	}
 	pool := wasabilink.NewPool(wasabilink.NewOptions("test", id, incarnation), nil)
 	o := wasabisession.NewOptions(addresses...).WithBackoff(20*time.Millisecond, 50*time.Millisecond, 500*time.Millisecond)
-	n := &node{pool: pool, Session: wasabisession.New(o, pool, wasabistand.Instance{
-		ID: id, Incarnation: incarnation, Service: service, LinkAddress: "127.0.0.1:1", Slots: 10, Connections: 100,
-		State: wasabistand.Ready, Location: wasabistand.Location{Region: "here", FailureDomain: "a"},
-	}, nil)}
+	n := &node{pool: pool, downs: make(chan wasabistand.Reason, 64)}
+	n.Session = wasabisession.New(o, pool, instance(id, service, incarnation), n)
 	c.t.Cleanup(n.close)
 	return n
 }
 
+func instance(id, service string, incarnation uint64) wasabistand.Instance {
+	return wasabistand.Instance{
+		ID: id, Incarnation: incarnation, Service: service, LinkAddress: "127.0.0.1:1", Slots: 10, Connections: 100,
+		State: wasabistand.Ready, Location: wasabistand.Location{Region: "here", FailureDomain: "a"},
+	}
+}
+
 func (n *node) close() {
 	_ = n.Close()
 	_ = n.pool.Close()
@@ -240,3 +271,16 @@
 func atLeast(revision uint64) func(*wasabistand.View) bool {
 	return func(v *wasabistand.View) bool { return v.Revision >= revision }
 }
+
+// leader returns who leads root, as the instances that run tell.
+func (c *cluster) leader(t testing.TB) string {
+	t.Helper()
+	for {
+		for id := range c.instances {
+			s, err := c.operator(id, readToken).Status(t.Context(), connect.NewRequest(&wasabistandv1.StatusRequest{}))
+			if err == nil && c.instances[s.Msg.GetGroups()[0].GetLeader()] != nil {
+				return s.Msg.GetGroups()[0].GetLeader()
+			}
+		}
+	}
+}
--- a/wasabicontrol/control_test.go
+++ b/wasabicontrol/control_test.go
@@ -1,18 +1,27 @@
 package wasabicontrol_test
 
 import (
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"gotest.tools/v3/assert"
 
 	"github.com/wasabistand/wasabistand"
+	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
+	"github.com/wasabistand/wasabistand/wasabicontrol"
+	"github.com/wasabistand/wasabistand/wasabilink"
+	"github.com/wasabistand/wasabistand/wasabiwire"
 )
 
-// Guards against an accepted configuration or an announced instance that does
-// not reach nodes.
-func TestAppliedConfigurationAndMembersReachNodes(t *testing.T) {
-	c := newCluster(t, 3, nil)
+// Guards against an accepted configuration, an announced instance or a drain
+// that does not reach nodes, and against lists that nobody asked for.
+func TestChangesReachNodes(t *testing.T) {
+	c := newCluster(t, 3, 0, nil)
 	first := c.node("reports-1", "reports", 1, "control-1")
 	second := c.node("archive-1", "archive", 1, "control-2")
 	first.Interest("archive")
@@ -22,7 +31,222 @@
 		assert.Equal(t, v.Contracts.Callers["office"].Patience, 2*time.Second)
 	}
 	v := first.await(t, "instance of archive", func(v *wasabistand.View) bool { return len(v.Instances["archive"]) == 1 })
-	assert.Equal(t, v.Instances["archive"][0].ID, "archive-1")
-	assert.Equal(t, len(second.View().Instances), 0)
+	assert.Assert(t, v.Instances["archive"][0].TakesWork())
 	assert.Assert(t, !first.Stale())
+
+	_, err := c.operator("control-1", changeToken).Drain(t.Context(), connect.NewRequest(&wasabistandv1.DrainRequest{Command: identity("drain"), Instance: "archive-1"}))
+	assert.NilError(t, err)
+	first.await(t, "drain", func(v *wasabistand.View) bool { return v.Instances["archive"][0].Drained })
+	second.await(t, "own drain", func(v *wasabistand.View) bool { return v.Drained })
+	assert.Equal(t, len(second.View().Instances), 0)
+
+	status, err := c.operator("control-2", readToken).Status(t.Context(), connect.NewRequest(&wasabistandv1.StatusRequest{}))
+	assert.NilError(t, err)
+	assert.Equal(t, status.Msg.GetRevision(), revision+1)
+	assert.Equal(t, len(status.Msg.GetInstances()), 2)
+	assert.Equal(t, len(status.Msg.GetGroups()[0].GetMembers()), 3)
+}
+
+// Guards against a restarted node that gets, from a control instance that was
+// cut off, a configuration older than one that was in force before.
+func TestCutOffInstanceGivesNoOldConfiguration(t *testing.T) {
+	c := newCluster(t, 3, 0, nil)
+	old := c.mustApply("control-1", 0, "old", "2s")
+	c.node("reports-1", "reports", 1, "control-1").await(t, "old revision", atLeast(old))
+
+	c.sides["control-1"].Store(1)
+	latest := c.mustApply("control-2", old, "new", "3s")
+	restarted := c.node("reports-2", "reports", 1, "control-1")
+	for range 3 {
+		assert.Equal(t, <-restarted.downs, wasabistand.Reason("not-confirmed"))
+	}
+	assert.Assert(t, restarted.View() == nil)
+	assert.Assert(t, restarted.Stale())
+
+	other := c.node("reports-3", "reports", 1, "control-1", "control-3")
+	v := other.await(t, "first view", func(*wasabistand.View) bool { return true })
+	assert.Equal(t, v.Revision, latest)
+
+	c.sides["control-1"].Store(0)
+	v = restarted.await(t, "first view", func(*wasabistand.View) bool { return true })
+	assert.Equal(t, v.Revision, latest)
+}
+
+// Guards against two racing commands that are both accepted, and against a
+// loser that does not learn who won.
+func TestRacingAppliesHaveOneWinner(t *testing.T) {
+	c := newCluster(t, 3, 0, nil)
+	revision := c.mustApply("control-1", 0, "base", "1s")
+	for round := range 5 {
+		var mu sync.Mutex
+		var won []uint64
+		var lost []error
+		var wait sync.WaitGroup
+		for k := range 9 {
+			wait.Go(func() {
+				r := &wasabistandv1.ApplyRequest{Command: identity(fmt.Sprintf("race-%d-%d", round, k)), ExpectedRevision: revision, Toml: document(fmt.Sprintf("%ds", k+1))}
+				a, err := c.apply(c.ids[k%3], r)
+				mu.Lock()
+				defer mu.Unlock()
+				if err == nil {
+					won = append(won, a.GetRevision())
+				} else {
+					lost = append(lost, err)
+				}
+			})
+		}
+		wait.Wait()
+		assert.Equal(t, len(won), 1, "%v", lost)
+		assert.Equal(t, won[0], revision+1)
+		revision = won[0]
+		for _, err := range lost {
+			assert.Equal(t, connect.CodeOf(err), connect.CodeAborted, "%v", err)
+			assert.Equal(t, conflict(t, err).GetLatestRevision(), revision)
+			assert.Equal(t, conflict(t, err).GetWinner(), "committee")
+		}
+	}
+}
+
+func conflict(t *testing.T, err error) *wasabistandv1.Conflict {
+	t.Helper()
+	var typed *connect.Error
+	assert.Assert(t, errors.As(err, &typed))
+	for _, d := range typed.Details() {
+		m, err := d.Value()
+		assert.NilError(t, err)
+		if k, ok := m.(*wasabistandv1.Conflict); ok {
+			return k
+		}
+	}
+	t.Fatalf("no conflict in %v", err)
+	return nil
+}
+
+// Guards against a command that acts twice when it is sent again elsewhere
+// after a lost answer, also across the loss of an instance and restarts.
+func TestResentCommandGetsTheFirstAnswer(t *testing.T) {
+	c := newCluster(t, 3, 0, nil)
+	first := &wasabistandv1.ApplyRequest{Command: identity("first"), ExpectedRevision: 0, Toml: document("1s")}
+	loser := &wasabistandv1.ApplyRequest{Command: identity("loser"), ExpectedRevision: 0, Toml: document("9s")}
+	revision := c.mustApply("control-1", 0, "before", "1s")
+	first.ExpectedRevision = revision
+	a, err := c.apply("control-1", first)
+	assert.NilError(t, err)
+	_, err = c.apply("control-2", loser)
+	assert.Equal(t, connect.CodeOf(err), connect.CodeAborted)
+	c.mustApply("control-3", a.GetRevision(), "after", "3s")
+	check := func(id string) {
+		t.Helper()
+		again, err := c.apply(id, first)
+		assert.NilError(t, err)
+		assert.Equal(t, again.GetRevision(), a.GetRevision())
+		assert.Assert(t, again.GetRepeated())
+		_, err = c.apply(id, loser)
+		assert.Equal(t, conflict(t, err).GetLatestRevision(), a.GetRevision())
+	}
+	check("control-2")
+	c.kill("control-1")
+	check("control-3")
+	for _, id := range []string{"control-2", "control-3"} {
+		c.kill(id)
+	}
+	for _, id := range c.ids {
+		c.restart(id)
+	}
+	c.mustApply("control-1", a.GetRevision()+1, "last", "4s")
+	check("control-1")
+}
+
+// Guards against a node that stays with a control instance that died, or that
+// finds none of those that it was not started with.
+func TestSessionMovesWhenItsInstanceDies(t *testing.T) {
+	c := newCluster(t, 3, 0, nil)
+	revision := c.mustApply("control-2", 0, "first", "1s")
+	n := c.node("reports-1", "reports", 1, "control-1")
+	n.await(t, "revision", atLeast(revision))
+	c.kill("control-1")
+	revision = c.mustApply("control-2", revision, "second", "2s")
+	n.await(t, "revision after the move", atLeast(revision))
+}
+
+// Guards against a change that some of many sessions never get.
+func TestManySessionsGetAChange(t *testing.T) {
+	c := newCluster(t, 3, 0, nil)
+	revision := c.mustApply("control-1", 0, "first", "1s")
+	var nodes []*node
+	for k := range 200 {
+		nodes = append(nodes, c.node(fmt.Sprintf("reports-%d", k), "reports", 1, c.ids...))
+	}
+	for _, n := range nodes {
+		n.await(t, "first revision", atLeast(revision))
+	}
+	revision = c.mustApply("control-2", revision, "second", "2s")
+	for _, n := range nodes {
+		n.await(t, "second revision", atLeast(revision))
+	}
+}
+
+// Guards against a node that does not read and thereby holds up others.
+func TestSlowSessionIsDropped(t *testing.T) {
+	c := newCluster(t, 1, 0, func(s wasabicontrol.Settings) wasabicontrol.Settings {
+		return s.WithSessions(10, 256<<10, time.Hour)
+	})
+	revision := c.mustApply("control-1", 0, "first", "1s")
+	pool := wasabilink.NewPool(wasabilink.NewOptions("test", "slow-1", 1), nil)
+	defer pool.Close()
+	link, err := pool.Get(t.Context(), c.links["control-1"])
+	assert.NilError(t, err)
+	stream, err := link.Open(wasabistandv1.StreamOpen_KIND_SESSION)
+	assert.NilError(t, err)
+	assert.NilError(t, stream.Send(&wasabistandv1.NodeFrame{Kind: &wasabistandv1.NodeFrame_Start{Start: &wasabistandv1.SessionStart{}}}))
+	assert.NilError(t, stream.Send(&wasabistandv1.NodeFrame{Kind: &wasabistandv1.NodeFrame_Announce{Announce: wasabiwire.FromInstance(instance("slow-1", "reports", 1))}}))
+	var frame wasabistandv1.ControlFrame
+	assert.NilError(t, stream.Receive(&frame))
+	assert.Equal(t, frame.GetConfiguration().GetRevision(), revision)
+
+	other := c.node("reports-1", "reports", 1, "control-1")
+	for k := range 12 {
+		r := &wasabistandv1.ApplyRequest{Command: identity(fmt.Sprintf("large-%d", k)), ExpectedRevision: revision, Toml: document("1s") + "# " + strings.Repeat("x", 100<<10)}
+		a, err := c.apply("control-1", r)
+		assert.NilError(t, err)
+		revision = a.GetRevision()
+		other.await(t, "revision while another node does not read", atLeast(revision))
+	}
+	for err == nil {
+		frame.Reset()
+		if err = stream.Receive(&frame); err == nil {
+			assert.Assert(t, frame.GetConfiguration().GetRevision() < revision, "the slow session got every revision")
+		}
+	}
+}
+
+// Guards against an API that answers without a token, lets a reader change,
+// or accepts a document that is faulty or too large.
+func TestOperatorsAreChecked(t *testing.T) {
+	c := newCluster(t, 1, 0, nil)
+	c.mustApply("control-1", 0, "first", "1s")
+	apply := func(token, toml string) error {
+		_, err := c.operator("control-1", token).Apply(t.Context(), connect.NewRequest(&wasabistandv1.ApplyRequest{Command: identity("x"), ExpectedRevision: 1, Toml: toml}))
+		return err
+	}
+	for _, k := range []struct {
+		token, toml, says string
+		code              connect.Code
+	}{
+		{"another-token-123456", document("1s"), "token", connect.CodeUnauthenticated},
+		{"", document("1s"), "token", connect.CodeUnauthenticated},
+		{readToken, document("1s"), "Change", connect.CodePermissionDenied},
+		{changeToken, document("-1s"), "Patience", connect.CodeInvalidArgument},
+		{changeToken, document("1s") + "#" + strings.Repeat("x", 1<<20), "allowed", connect.CodeInvalidArgument},
+		{changeToken, document("1s") + "#" + strings.Repeat("x", 2<<20), "", connect.CodeResourceExhausted},
+	} {
+		err := apply(k.token, k.toml)
+		assert.Equal(t, connect.CodeOf(err), k.code, "%v", err)
+		assert.ErrorContains(t, err, k.says)
+	}
+	answer, err := c.operator("control-1", readToken).GetConfiguration(t.Context(), connect.NewRequest(&wasabistandv1.GetConfigurationRequest{}))
+	assert.NilError(t, err)
+	assert.Equal(t, answer.Msg.GetToml(), document("1s"))
+	_, err = c.operator("control-1", readToken).GetConfiguration(t.Context(), connect.NewRequest(&wasabistandv1.GetConfigurationRequest{Revision: 99}))
+	assert.Equal(t, connect.CodeOf(err), connect.CodeNotFound)
 }
--- /dev/null
+++ b/wasabisession/session_test.go
@@ -0,0 +1,282 @@
+package wasabisession_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wasabistand/wasabistand"
+	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
+	"github.com/wasabistand/wasabistand/wasabilink"
+	"github.com/wasabistand/wasabistand/wasabisession"
+)
+
+// control is a stand-in for a control instance, on a real socket.
+type control struct {
+	t        testing.TB
+	address  string
+	listener *wasabilink.Listener
+	// Each session is handed to the test, which serves it until it closes
+	// release.
+	sessions chan *stream
+	// Claim requests of all streams are handed to the test.
+	requests chan claimRequest
+}
+
+type claimRequest struct {
+	*wasabistandv1.ClaimRequest
+	stream *stream
+}
+
+type stream struct {
+	*wasabilink.Stream
+	release chan struct{}
+}
+
+func newControl(t testing.TB) *control {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	c := &control{t: t, address: ln.Addr().String(), sessions: make(chan *stream, 16), requests: make(chan claimRequest, 64)}
+	c.listener = wasabilink.Serve(ln, wasabilink.NewOptions("test", "control", 1), func(ctx context.Context, kind wasabistandv1.StreamOpen_Kind, s *wasabilink.Stream) {
+		k := &stream{Stream: s, release: make(chan struct{})}
+		if kind == wasabistandv1.StreamOpen_KIND_SESSION {
+			c.sessions <- k
+		} else {
+			go c.read(k)
+		}
+		select {
+		case <-ctx.Done():
+		case <-k.release:
+		}
+	})
+	t.Cleanup(func() { assert.Check(t, c.listener.Close()) })
+	return c
+}
+
+func (c *control) read(s *stream) {
+	for {
+		r := claimRequest{ClaimRequest: new(wasabistandv1.ClaimRequest), stream: s}
+		if s.Receive(r.ClaimRequest) != nil {
+			return
+		}
+		c.requests <- r
+	}
+}
+
+// session takes the next session and reads its start.
+func (c *control) session() (*stream, *wasabistandv1.SessionStart) {
+	s := <-c.sessions
+	var f wasabistandv1.NodeFrame
+	assert.NilError(c.t, s.Receive(&f))
+	return s, f.GetStart()
+}
+
+func (s *stream) configure(t testing.TB, u *wasabistandv1.ConfigurationUpdate) {
+	t.Helper()
+	assert.NilError(t, s.Send(&wasabistandv1.ControlFrame{Kind: &wasabistandv1.ControlFrame_Configuration{Configuration: u}}))
+}
+
+func (s *stream) refuse(t testing.TB, reason string) {
+	t.Helper()
+	assert.NilError(t, s.Send(&wasabistandv1.ControlFrame{Kind: &wasabistandv1.ControlFrame_Refusal{Refusal: &wasabistandv1.SessionRefusal{Reason: reason}}}))
+}
+
+type recorder chan wasabistand.Event
+
+func (r recorder) Record(e wasabistand.Event) { r <- e }
+func (r recorder) String() string             { return "test" }
+
+func (r recorder) await(kind wasabistand.EventKind) wasabistand.Event {
+	for e := range r {
+		if e.Kind == kind {
+			return e
+		}
+	}
+	panic("closed")
+}
+
+func newSession(t testing.TB, o wasabisession.Options) (*wasabisession.Session, recorder) {
+	t.Helper()
+	r := make(recorder, 1024)
+	pool := wasabilink.NewPool(wasabilink.NewOptions("test", "reports-1", 7), nil)
+	s := wasabisession.New(o.WithBackoff(time.Millisecond, 10*time.Millisecond, 50*time.Millisecond), pool, wasabistand.Instance{
+		ID: "reports-1", Incarnation: 7, Service: "reports", LinkAddress: "127.0.0.1:1", Slots: 1, Connections: 1,
+		State: wasabistand.Ready, Location: wasabistand.Location{Region: "here", FailureDomain: "a"},
+	}, r)
+	t.Cleanup(func() {
+		assert.Check(t, s.Close())
+		assert.Check(t, pool.Close())
+	})
+	return s, r
+}
+
+func await(s *wasabisession.Session, ok func(*wasabistand.View) bool) *wasabistand.View {
+	for {
+		changed := s.Changed()
+		if v := s.View(); v != nil && ok(v) {
+			return v
+		}
+		<-changed
+	}
+}
+
+const document = "[[Callers]]\nName = \"office\"\nPatience = \"2s\"\n"
+
+// Guards against a running node that goes back to an older configuration, and
+// against one that loses its contracts to a document that does not parse.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	c := newControl(t)
+	s, events := newSession(t, wasabisession.NewOptions(c.address))
+	k, start := c.session()
+	assert.Equal(t, start.GetRevision(), uint64(0))
+	k.configure(t, &wasabistandv1.ConfigurationUpdate{Revision: 5, DocumentRevision: 5, Toml: document, Drained: []string{"reports-1"}})
+	v := await(s, func(*wasabistand.View) bool { return true })
+	assert.Equal(t, v.Contracts.Callers["office"].Patience, 2*time.Second)
+	assert.Assert(t, v.Drained)
+
+	k.configure(t, &wasabistandv1.ConfigurationUpdate{Revision: 4, DocumentRevision: 4, Toml: document})
+	assert.Equal(t, events.await(wasabistand.EventSessionDown).Reason, wasabistand.Reason("older-revision"))
+	close(k.release)
+	assert.Equal(t, s.View().Revision, uint64(5))
+
+	k, start = c.session()
+	assert.Equal(t, start.GetRevision(), uint64(5))
+	k.configure(t, &wasabistandv1.ConfigurationUpdate{Revision: 6, DocumentRevision: 6, Toml: "Callers = 1"})
+	for events.await(wasabistand.EventConfigInForce).Reason != "parse" {
+		continue
+	}
+	v = await(s, func(v *wasabistand.View) bool { return v.Revision == 6 })
+	assert.Equal(t, v.Contracts.Callers["office"].Patience, 2*time.Second)
+	k.refuse(t, "stopping")
+	assert.Equal(t, events.await(wasabistand.EventSessionDown).Reason, wasabistand.Reason("stopping"))
+}
+
+// Guards against a list that lacks instances because a delta was lost, and
+// against one that mixes the versions of two control instances.
+func TestDeltaThatDoesNotFitIsAskedForAgain(t *testing.T) {
+	c := newControl(t)
+	s, _ := newSession(t, wasabisession.NewOptions(c.address))
+	s.Interest("archive")
+	k, _ := c.session()
+	interest := func() map[string]uint64 {
+		for {
+			var f wasabistandv1.NodeFrame
+			assert.NilError(t, k.Receive(&f))
+			if f.GetInterest() != nil {
+				return f.GetInterest().GetServices()
+			}
+		}
+	}
+	delta := func(base, version uint64, id string) {
+		i := &wasabistandv1.Instance{Id: id, Service: "archive", LinkAddress: "127.0.0.1:2", Region: "here", FailureDomain: "a", Slots: 1, Connections: 1, State: wasabistandv1.InstanceState_INSTANCE_STATE_READY}
+		d := &wasabistandv1.MembershipDelta{Service: "archive", BaseVersion: base, Version: version, Upserts: []*wasabistandv1.Instance{i}}
+		assert.NilError(t, k.Send(&wasabistandv1.ControlFrame{Kind: &wasabistandv1.ControlFrame_Membership{Membership: d}}))
+	}
+	assert.DeepEqual(t, interest(), map[string]uint64{"archive": 0})
+	k.configure(t, &wasabistandv1.ConfigurationUpdate{Revision: 1})
+	delta(0, 3, "archive-1")
+	await(s, func(v *wasabistand.View) bool { return len(v.Instances["archive"]) == 1 })
+	delta(4, 5, "archive-2")
+	for interest()["archive"] != 0 {
+		continue
+	}
+	delta(0, 5, "archive-3")
+	v := await(s, func(v *wasabistand.View) bool { return v.Instances["archive"][0].ID == "archive-3" })
+	assert.Equal(t, len(v.Instances["archive"]), 1)
+}
+
+// home starts a session whose claims go to the stand-in.
+func home(t testing.TB, o func(wasabisession.Options) wasabisession.Options) (*control, *wasabisession.Session) {
+	c := newControl(t)
+	s, _ := newSession(t, o(wasabisession.NewOptions(c.address)))
+	k, _ := c.session()
+	k.configure(t, &wasabistandv1.ConfigurationUpdate{Revision: 1, ClaimHomes: map[string]*wasabistandv1.AddressList{"": {Addresses: []string{c.address}}}})
+	await(s, func(*wasabistand.View) bool { return true })
+	return c, s
+}
+
+func claim() wasabistand.Claim {
+	return wasabistand.Claim{Caller: "office", Service: "reports", Key: "key", Home: "here", Call: 3, Deadline: time.Now().Add(time.Minute)}
+}
+
+func (r claimRequest) answer(t testing.TB, state wasabistandv1.ClaimResponse_State) {
+	t.Helper()
+	assert.NilError(t, r.stream.Send(&wasabistandv1.ClaimResponse{Id: r.GetId(), State: state}))
+}
+
+func refused(t testing.TB, err error) {
+	t.Helper()
+	var r *wasabistand.Refusal
+	assert.Assert(t, errors.As(err, &r), "%v", err)
+	assert.Equal(t, r.Outcome, wasabistand.NotRun)
+	assert.Equal(t, r.Reason, wasabistand.ReasonClaim)
+}
+
+// Guards against a key that stays held because its grant came after the call
+// was refused: the caller could not send again until the claim's deadline.
+func TestLateGrantIsReleased(t *testing.T) {
+	c, s := home(t, func(o wasabisession.Options) wasabisession.Options {
+		return o.WithClaims(50*time.Millisecond, time.Minute)
+	})
+	w := claim()
+	// A take whose time is over before there is a stream sends nothing.
+	for len(c.requests) == 0 {
+		w.Call++
+		_, err := s.Take(t.Context(), w)
+		refused(t, err)
+	}
+	take := <-c.requests
+	take.answer(t, wasabistandv1.ClaimResponse_STATE_GRANTED)
+	for r := range c.requests {
+		if r.GetSettle().GetOwner().GetCall() == take.GetTake().GetOwner().GetCall() {
+			assert.Assert(t, r.GetSettle().GetReleased())
+			assert.Equal(t, r.GetSettle().GetOwner().GetIncarnation(), uint64(7))
+			r.answer(t, wasabistandv1.ClaimResponse_STATE_SETTLED)
+			return
+		}
+	}
+}
+
+// Guards against a claim that is granted in the log while its answer is lost
+// with the stream.
+func TestClaimWithLostAnswerIsReleased(t *testing.T) {
+	c, s := home(t, func(o wasabisession.Options) wasabisession.Options {
+		return o.WithClaims(50*time.Millisecond, time.Minute)
+	})
+	ended := make(chan error, 1)
+	go func() {
+		_, err := s.Take(t.Context(), claim())
+		ended <- err
+	}()
+	// Every take is read and its stream cut, until the release comes.
+	for r := range c.requests {
+		if r.GetSettle() != nil {
+			assert.Assert(t, r.GetSettle().GetReleased())
+			r.answer(t, wasabistandv1.ClaimResponse_STATE_SETTLED)
+			break
+		}
+		close(r.stream.release)
+	}
+	refused(t, <-ended)
+}
+
+// Guards against settlements without bound while the home group is lost.
+func TestSettlementsAreBounded(t *testing.T) {
+	_, s := home(t, func(o wasabisession.Options) wasabisession.Options {
+		return o.WithMaxSettles(2, 1000).WithCloseTimeout(10 * time.Millisecond)
+	})
+	settle := func(body int) error {
+		return s.Settle(t.Context(), claim(), wasabistand.Settlement{Outcome: wasabistand.Answered, Answer: &wasabistand.RecordedAnswer{Status: 200, Body: make([]byte, body)}})
+	}
+	assert.ErrorContains(t, settle(2000), "1000 bytes")
+	assert.NilError(t, settle(10))
+	assert.NilError(t, settle(10))
+	assert.ErrorContains(t, settle(10), "at most 2")
+	assert.NilError(t, s.Close())
+	assert.ErrorContains(t, settle(10), "closed")
+}
