--- a/wasabicontrol/claims_test.go
+++ b/wasabicontrol/claims_test.go
@@ -84,7 +84,7 @@
 	c.kill(c.leader(t))
 	assert.NilError(t, n.Settle(t.Context(), released, wasabistand.Settlement{Outcome: wasabistand.NotRun}))
 	assert.NilError(t, n.Settle(t.Context(), answered, wasabistand.Settlement{Outcome: wasabistand.Answered, Answer: &wasabistand.RecordedAnswer{Status: 200}}))
-	assert.NilError(t, n.Session.Close())
+	assert.NilError(t, n.Close())
 
 	other := c.node("reports-2", "reports", 1, c.ids...)
 	other.await(t, "revision", atLeast(revision))
