Name lost instances and keep a faulty document out of force

Cause: Status listed no instance whose lease had run out, because the list drops it; a node whose document did not parse still reported the new revision as in force; settlements of calls with a long patience ended before their claims read as unknown. Change: control remembers for an hour which instances went without leaving; a node reports the revision whose document is in force; settlements are retried until the claim reads as unknown, for at most a minute. Tests of a planned stop (with a check for goroutines left behind), of an added control instance and of an instance out of reach.

--- a/wasabicontrol/hub.go
+++ b/wasabicontrol/hub.go
@@ -14,6 +14,9 @@
 	hubTick = 250 * time.Millisecond
 	// syncEvery is how often other control instances get a summary.
 	syncEvery = time.Second
+	// lostFor and maxLost bound the memory of instances that went.
+	lostFor = time.Hour
+	maxLost = 4096
 )
 
 // hub owns the sessions and the membership. All its fields belong to the
@@ -41,6 +44,10 @@
 	peers     map[string]*peer
 	regions   map[string]peerPlace
 	refusing  bool
+	// listed and lost tell operators of instances that are out of reach.
+	noted  time.Time
+	listed map[string]wasabistand.InstanceState
+	lost   map[string]time.Time
 }
 
 func newHub(i *Instance) *hub {
@@ -50,6 +57,7 @@
 		registry: wasabimember.New(wasabimember.NewOptions(i.settings.id, uint64(time.Now().UnixNano())).WithLease(i.settings.lease)),
 		sessions: map[*session]struct{}{}, interests: map[string]map[*session]struct{}{}, pushed: map[string]uint64{},
 		peers: map[string]*peer{}, regions: map[string]peerPlace{},
+		listed: map[string]wasabistand.InstanceState{}, lost: map[string]time.Time{},
 	}
 	h.flush = time.NewTimer(time.Hour)
 	return h
@@ -125,6 +133,30 @@
 	if now.Sub(h.synced) >= syncEvery {
 		h.broadcast(now)
 	}
+	if now.Sub(h.noted) >= syncEvery {
+		h.noted = now
+		h.noteLost(now)
+	}
+}
+
+// noteLost remembers for a while which instances went without leaving.
+func (h *hub) noteLost(now time.Time) {
+	list := make(map[string]wasabistand.InstanceState, len(h.listed))
+	for _, i := range h.registry.List("") {
+		list[i.ID] = i.State
+		delete(h.lost, i.ID)
+	}
+	for id, state := range h.listed {
+		if _, ok := list[id]; !ok && state != wasabistand.Leaving && len(h.lost) < maxLost {
+			h.lost[id] = now
+		}
+	}
+	for id, at := range h.lost {
+		if now.Sub(at) > lostFor {
+			delete(h.lost, id)
+		}
+	}
+	h.listed = list
 }
 
 // warm reports whether the lists are complete enough to replace those that
--- /dev/null
+++ b/wasabicontrol/life_test.go
@@ -0,0 +1,104 @@
+package wasabicontrol_test
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync/atomic"
+	"testing"
+
+	"connectrpc.com/connect"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/wasabistand/wasabistand"
+	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
+)
+
+// Guards against a planned stop that ends sessions without a word, loses the
+// quorum, or leaves goroutines behind.
+func TestShutdownSendsSessionsElsewhere(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent(), goleak.IgnoreTopFunction("net/http.(*persistConn).readLoop"), goleak.IgnoreTopFunction("net/http.(*persistConn).writeLoop"))
+	c := newCluster(t, 3, 0, nil)
+	revision := c.mustApply("control-1", 0, "first", "1s")
+	leader := c.leader(t)
+	n := c.node("reports-1", "reports", 1, leader)
+	n.await(t, "revision", atLeast(revision))
+	ctx, cancel := context.WithTimeout(t.Context(), waitBound)
+	defer cancel()
+	assert.NilError(t, c.instances[leader].Shutdown(ctx))
+	delete(c.instances, leader)
+	assert.Equal(t, <-n.downs, wasabistand.Reason("stopping"))
+	revision = c.mustApply(c.any(), revision, "second", "2s")
+	n.await(t, "revision after the stop", atLeast(revision))
+	n.close()
+	c.close()
+}
+
+// any returns an instance that runs.
+func (c *cluster) any() string {
+	for id := range c.instances {
+		return id
+	}
+	c.t.Fatal("no instance runs")
+	return ""
+}
+
+// Guards against a control instance that is added and never counts, and
+// against nodes that find it only through settings.
+func TestAddedInstanceCountsAndIsFound(t *testing.T) {
+	c := newCluster(t, 1, 0, nil)
+	revision := c.mustApply("control-1", 0, "first", "1s")
+	n := c.node("reports-1", "reports", 1, "control-1")
+	n.await(t, "revision", atLeast(revision))
+	listeners := [2]net.Listener{listen(t), listen(t)}
+	c.links["control-2"], c.apis["control-2"] = listeners[0].Addr().String(), listeners[1].Addr().String()
+	c.sides["control-2"] = new(atomic.Int32)
+	c.joins["control-2"] = true
+	c.start("control-2", listeners)
+	r := &wasabistandv1.ChangeMembersRequest{Command: identity("add"), Group: "root", Change: &wasabistandv1.ChangeMembersRequest_Add{
+		Add: &wasabistandv1.MemberAddress{Id: "control-2", Address: c.links["control-2"]},
+	}}
+	_, err := c.operator("control-1", changeToken).ChangeMembers(t.Context(), connect.NewRequest(r))
+	assert.NilError(t, err)
+	voters := func() (count int) {
+		s, err := c.operator("control-2", readToken).Status(t.Context(), connect.NewRequest(&wasabistandv1.StatusRequest{}))
+		if err != nil {
+			return 0
+		}
+		for _, m := range s.Msg.GetGroups()[0].GetMembers() {
+			if m.GetVoter() {
+				count++
+			}
+		}
+		return count
+	}
+	for voters() != 2 {
+		assert.NilError(t, t.Context().Err())
+	}
+	n.await(t, "address of the added instance", func(v *wasabistand.View) bool {
+		return slices.Contains(v.ClaimHomes[""], c.links["control-2"])
+	})
+	revision = c.mustApply("control-2", revision, "second", "2s")
+	n.await(t, "second revision", atLeast(revision))
+}
+
+// Guards against an operator who is not told of an instance that died.
+func TestStatusNamesInstancesOutOfReach(t *testing.T) {
+	c := newCluster(t, 1, 0, nil)
+	revision := c.mustApply("control-1", 0, "first", "1s")
+	n := c.node("reports-1", "reports", 1, "control-1")
+	n.await(t, "revision", atLeast(revision))
+	status := func() *wasabistandv1.StatusResponse {
+		s, err := c.operator("control-1", readToken).Status(t.Context(), connect.NewRequest(&wasabistandv1.StatusRequest{}))
+		assert.NilError(t, err)
+		return s.Msg
+	}
+	for s := status(); len(s.GetInstances()) == 0 || len(s.GetLagging()) > 0; s = status() {
+		assert.NilError(t, t.Context().Err())
+	}
+	n.close()
+	for s := status(); !slices.Contains(s.GetOutOfReach(), "reports-1"); s = status() {
+		assert.NilError(t, t.Context().Err())
+	}
+}
--- a/wasabicontrol/status.go
+++ b/wasabicontrol/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -54,6 +55,7 @@
 	if out.Instances, err = i.instances("", c); err != nil {
 		return nil, err
 	}
+	i.hub.do(func() { out.OutOfReach = slices.Sorted(maps.Keys(i.hub.lost)) })
 	for _, m := range out.Instances {
 		if m.GetRevisionInForce() < c.revision {
 			out.Lagging = append(out.Lagging, m.GetId())
--- a/wasabisession/claims.go
+++ b/wasabisession/claims.go
@@ -23,6 +23,13 @@
 // that comes before its claim would leave the claim held.
 const releaseMargin = time.Second
 
+const (
+	// settleGrace is how long after its deadline a claim can be settled.
+	settleGrace = 5 * time.Second
+	// maxSettleTimeout bounds the retries for calls of long patience.
+	maxSettleTimeout = time.Minute
+)
+
 // settleAttempt bounds one attempt to record a settlement, so that a leader
 // that lost its quorum is left.
 const settleAttempt = time.Second
@@ -185,7 +192,9 @@
 		case *wasabistandv1.ClaimSettle_Unknown:
 			m.Result = r
 		}
-		ctx, cancel := context.WithTimeout(c.ctx, c.options.settleTimeout)
+		// Until the claim reads as unknown a settlement still counts.
+		patience := time.Until(w.Deadline) + settleGrace
+		ctx, cancel := context.WithTimeout(c.ctx, min(max(patience, c.options.settleTimeout), maxSettleTimeout))
 		defer cancel()
 		if h := c.settleHome(w.Home); h != nil {
 			request := &wasabistandv1.ClaimRequest{Home: w.Home, Kind: &wasabistandv1.ClaimRequest_Settle{Settle: m}}
--- a/wasabisession/conversation.go
+++ b/wasabisession/conversation.go
@@ -115,7 +115,9 @@
 		}
 		s.confirmed.Store(time.Now().UnixNano())
 		if changed {
-			s.record(wasabistand.EventConfigInForce, "", revisionField(u.GetRevision()))
+			if !s.state.broken {
+				s.record(wasabistand.EventConfigInForce, "", revisionField(u.GetRevision()))
+			}
 			// The renewal that tells of it goes out at once, so that Status
 			// does not lag behind by a renewal.
 			s.publish()
@@ -146,14 +148,14 @@
 	s.self.Sequence++
 	i := s.self
 	s.mu.Unlock()
-	i.RevisionInForce = s.state.revision
+	i.RevisionInForce = s.state.inForce
 	return c.send(&wasabistandv1.NodeFrame{Kind: &wasabistandv1.NodeFrame_Announce{Announce: wasabiwire.FromInstance(i)}})
 }
 
 // renew names the announcement that it renews.
 func (c *conversation) renew() bool {
 	c.s.mu.Lock()
-	r := &wasabistandv1.Renewal{Sequence: c.s.self.Sequence, RevisionInForce: c.s.state.revision}
+	r := &wasabistandv1.Renewal{Sequence: c.s.self.Sequence, RevisionInForce: c.s.state.inForce}
 	c.s.mu.Unlock()
 	return c.send(&wasabistandv1.NodeFrame{Kind: &wasabistandv1.NodeFrame_Renew{Renew: r}})
 }
--- a/wasabisession/options.go
+++ b/wasabisession/options.go
@@ -48,8 +48,8 @@
 		maxBackoff: 5 * time.Second,
 		// A call waits no longer than this for its claim.
 		claimTimeout: 250 * time.Millisecond,
-		// Above the time after which an unsettled claim reads as unknown for
-		// a call of ordinary patience; later settlements change nothing.
+		// Calls of longer patience are settled until their claims read as
+		// unknown, up to a minute.
 		settleTimeout: 10 * time.Second,
 		closeTimeout:  5 * time.Second,
 		maxInterests:  1024,
@@ -80,8 +80,8 @@
 	return o
 }
 
-// WithClaims returns a copy that bounds the wait for a claim and the time for
-// which a settlement is retried.
+// WithClaims returns a copy that bounds the wait for a claim and sets the least
+// time for which a settlement is retried.
 func (o Options) WithClaims(claim, settle time.Duration) Options {
 	o.claimTimeout, o.settleTimeout = claim, settle
 	return o
--- a/wasabisession/state.go
+++ b/wasabisession/state.go
@@ -16,8 +16,10 @@
 type state struct {
 	self      string
 	received  bool
-	revision  uint64
-	document  uint64 // the revision of the document that was parsed last
+	revision  uint64 // the latest accepted; never falls
+	inForce   uint64 // the latest whose document is in force
+	document  uint64 // the revision of the latest document
+	broken    bool   // the latest document did not parse
 	contracts *wasabistand.Contracts
 	drained   map[string]bool
 	homes     map[string][]string
@@ -44,9 +46,12 @@
 		if c, err = wasabiconfig.Parse([]byte(u.GetToml())); err == nil {
 			s.contracts = c
 		}
-		s.document = u.GetDocumentRevision()
+		s.document, s.broken = u.GetDocumentRevision(), err != nil
 	}
 	s.received, s.dirty, s.revision = true, true, u.GetRevision()
+	if !s.broken {
+		s.inForce = s.revision
+	}
 	drained := make(map[string]bool, len(u.GetDrained()))
 	for _, id := range u.GetDrained() {
 		drained[id] = true
@@ -122,7 +127,7 @@
 	}
 	s.state.dirty = false
 	v := &wasabistand.View{
-		Revision: s.state.revision, Contracts: s.state.contracts, Instances: maps.Clone(s.state.instances),
+		Revision: s.state.inForce, Contracts: s.state.contracts, Instances: maps.Clone(s.state.instances),
 		Drained: s.state.drained[s.id], ClaimHomes: s.state.homes,
 	}
 	old := s.published.Swap(&published{view: v, changed: make(chan struct{})})
