--- a/wasabiheader/hop.go
+++ b/wasabiheader/hop.go
@@ -8,9 +8,11 @@
 )
 
 // hop lists the headers that concern one connection (RFC 9110, section 7.6.1),
-// and Trailer, since trailers are announced anew on each connection.
+// Trailer, since trailers are announced anew on each connection, and Expect,
+// since the node itself asks for the body.
 var hop = map[string]bool{
 	"Connection":          true,
+	"Expect":              true,
 	"Keep-Alive":          true,
 	"Proxy-Authenticate":  true,
 	"Proxy-Authorization": true,
--- a/wasabinode/admin.go
+++ b/wasabinode/admin.go
@@ -17,8 +17,8 @@
 		return false, "leaving"
 	case n.snapshot() == nil:
 		return false, "no configuration is confirmed yet"
-	case n.state() == wasabistand.Cold:
-		return false, "the upstream accepts no connections yet"
+	case !n.reachable():
+		return false, "the upstream accepts no connections"
 	}
 	return true, "ready"
 }
--- a/wasabinode/body.go
+++ b/wasabinode/body.go
@@ -82,7 +82,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return !b.overflow && (b.err == nil || b.err == io.EOF)
+	return !b.overflow && (b.err == nil || errors.Is(b.err, io.EOF))
 }
 
 // failure returns why the body could not be read, nil for a body that was
@@ -93,7 +93,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.err == io.EOF || b.stopped {
+	if errors.Is(b.err, io.EOF) || b.stopped {
 		return nil
 	}
 	return b.err
@@ -120,7 +120,7 @@
 		return
 	}
 	b.mu.Lock()
-	started, done := b.reader != nil, b.err == io.EOF
+	started, done := b.reader != nil, errors.Is(b.err, io.EOF)
 	b.stopped = true
 	if started && !done {
 		_ = b.control.SetReadDeadline(time.Unix(1, 0))
--- a/wasabinode/entry.go
+++ b/wasabinode/entry.go
@@ -147,7 +147,7 @@
 	if n.levels.refuse(n.now(), c.kind, c.importance) {
 		return wasabistand.NewRefusal(wasabistand.ReasonLevel, fmt.Sprintf("%s is refused below a higher importance than %s", c.kind, c.importance))
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline.Add(answerGrace))
 	defer cancel()
 	out := &callerSink{node: n, call: c, writer: w, request: r, keep: !c.contract.Idempotent}
 	if c.contract.Idempotent {
--- a/wasabinode/node.go
+++ b/wasabinode/node.go
@@ -189,7 +189,8 @@
 	// added once those have ended.
 	err := errors.Join(n.serving.wait(drain), n.entering.wait(drain))
 	if err == nil {
-		err = n.settled(drain)
+		// An answer may still be in a buffer when its handler has returned.
+		err = errors.Join(n.traffic.Shutdown(drain), n.settled(drain))
 	}
 	return errors.Join(err, n.Close())
 }
--- a/wasabinode/node_test.go
+++ b/wasabinode/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -10,15 +11,34 @@
 
 func noCall(http.ResponseWriter, *http.Request) {}
 
+// whole is an answer that was read to its end.
+type whole struct {
+	status  int
+	header  http.Header
+	trailer http.Header
+	body    string
+}
+
 // do sends a request and reads its whole answer.
-func (m *mesh) do(r *http.Request) (*http.Response, string) {
+func (m *mesh) do(r *http.Request) whole {
 	m.t.Helper()
 	answer, err := m.client.Do(r)
 	assert.NilError(m.t, err)
 	defer answer.Body.Close()
 	body, err := io.ReadAll(answer.Body)
 	assert.NilError(m.t, err)
-	return answer, string(body)
+	return whole{answer.StatusCode, answer.Header, answer.Trailer, string(body)}
+}
+
+// refused checks that a call got a refusal and returns it.
+func (m *mesh) refused(r *http.Request, status int, outcome, reason string) whole {
+	m.t.Helper()
+	w := m.do(r)
+	assert.Equal(m.t, w.status, status, w.body)
+	assert.Equal(m.t, w.header.Get("Wasabi-Outcome"), outcome)
+	assert.Equal(m.t, w.header.Get("Content-Type"), "application/problem+json")
+	assert.Assert(m.t, strings.Contains(w.body, `"reason":"`+reason+`"`), w.body)
+	return w
 }
 
 // Guards against answers that lose or gain anything on the way through two
@@ -37,15 +57,73 @@
 	})
 	a := m.add("a1", "a", noCall)
 	m.ready()
-	answer, body := m.do(request(t, a, "GET", "b", "/read/x%2Fy?q=1", "Wasabi-Request", "r1", "Wasabi-Timeout", "5000"))
-	assert.Equal(t, body, "answer to /read/x%2Fy?q=1")
-	assert.Equal(t, answer.StatusCode, http.StatusCreated)
-	assert.Equal(t, answer.Header.Get("X-Kept"), "yes")
-	assert.Equal(t, answer.Header.Get("X-Hop"), "")
-	assert.DeepEqual(t, answer.Header["Wasabi-Outcome"], []string{"answered"})
+	answer := m.do(request(t, a, "GET", "b", "/read/x%2Fy?q=1", "Wasabi-Request", "r1", "Wasabi-Timeout", "5000"))
+	assert.Equal(t, answer.body, "answer to /read/x%2Fy?q=1")
+	assert.Equal(t, answer.status, http.StatusCreated)
+	assert.Equal(t, answer.header.Get("X-Kept"), "yes")
+	assert.Equal(t, answer.header.Get("X-Hop"), "")
+	assert.DeepEqual(t, answer.header["Wasabi-Outcome"], []string{"answered"})
 	h := <-seen
 	assert.Equal(t, h.Get("Wasabi-Request"), "r1")
 	assert.Equal(t, h.Get("Wasabi-Importance"), "Normal")
 	assert.Equal(t, h.Get("Wasabi-Caller"), "client")
 	assert.Assert(t, len(h.Get("Wasabi-Call")) >= 26)
 }
+
+// Guards against malformed headers that reach an upstream or are silently
+// taken for something else.
+func TestRefusesMalformedRequests(t *testing.T) {
+	m := newMesh(t)
+	ran := make(chan struct{}, 100)
+	a := m.add("a1", "a", func(http.ResponseWriter, *http.Request) { ran <- struct{}{} })
+	m.ready()
+	for _, c := range []struct {
+		method, service, path string
+		headers               []string
+		status                int
+		reason, names         string
+	}{
+		{"GET", "a", "/read/x", []string{"Wasabi-Timeout", "0"}, 400, "bad-request", "Wasabi-Timeout"},
+		{"GET", "a", "/read/x", []string{"Wasabi-Timeout", "-5"}, 400, "bad-request", "Wasabi-Timeout"},
+		{"GET", "a", "/read/x", []string{"Wasabi-Timeout", "1e3"}, 400, "bad-request", "1e3"},
+		{"GET", "a", "/read/x", []string{"Wasabi-Timeout", "99999999999999999999"}, 400, "bad-request", "Wasabi-Timeout"},
+		{"GET", "a", "/read/x", []string{"Wasabi-Request", strings.Repeat("r", 65)}, 400, "bad-request", "65 bytes"},
+		{"GET", "a", "/read/x", []string{"Wasabi-Caller", "a\tb"}, 400, "bad-request", "Wasabi-Caller"},
+		{"GET", "a", "/read/x", []string{"Upgrade", "websocket", "Connection", "Upgrade"}, 400, "bad-request", "websocket"},
+		{"POST", "a", "/approve", []string{"Idempotency-Key", strings.Repeat("k", 129)}, 400, "bad-request", "129 bytes"},
+		{"POST", "a", "/approve", nil, 400, "bad-request", "Idempotency-Key"},
+		{"POST", "a", "/elsewhere", nil, 404, "unknown-call", "/elsewhere"},
+		{"GET", "z", "/read/x", nil, 404, "unknown-call", "z"},
+	} {
+		w := m.refused(request(t, a, c.method, c.service, c.path, c.headers...), c.status, "not-run", c.reason)
+		assert.Assert(t, strings.Contains(w.body, c.names), w.body)
+		assert.Equal(t, w.header.Get("Retry-After"), "")
+	}
+	assert.Equal(t, len(ran), 0)
+}
+
+// Guards against calls served without a confirmed configuration.
+func TestNotReadyWithoutConfiguration(t *testing.T) {
+	m := newMesh(t)
+	a := m.add("a1", "a", noCall)
+	ready, _ := a.Ready()
+	assert.Assert(t, !ready)
+	w := m.refused(request(t, a, "GET", "a", "/read/x"), 503, "not-run", "not-ready")
+	assert.Assert(t, w.header.Get("Retry-After") != "" && w.header.Get("Wasabi-Retry-After-Ms") != "")
+	answer, err := m.client.Get("http://" + a.AdminAddress() + "/readyz")
+	assert.NilError(t, err)
+	assert.NilError(t, answer.Body.Close())
+	assert.Equal(t, answer.StatusCode, 503)
+}
+
+// Guards against a caller that evades its share by resending.
+func TestResendsCountAgainstTheCallersShare(t *testing.T) {
+	m := newMesh(t)
+	a := m.add("a1", "a", noCall)
+	m.ready()
+	for range 2 {
+		assert.Equal(t, m.do(request(t, a, "GET", "a", "/read/x", "Wasabi-Caller", "greedy", "Wasabi-Request", "same")).status, 200)
+	}
+	m.refused(request(t, a, "GET", "a", "/read/x", "Wasabi-Caller", "greedy", "Wasabi-Request", "same"), 429, "not-run", "caller-share")
+	assert.Equal(t, m.do(request(t, a, "GET", "a", "/read/x")).status, 200)
+}
--- a/wasabinode/record.go
+++ b/wasabinode/record.go
@@ -54,7 +54,14 @@
 	n.metrics.served(a, e.refusal.Outcome.String(), e.refusal.Reason)
 }
 
+// limitChanged is called with the gate's mutex held.
 func (n *Node) limitChanged(limit int) {
+	if limit >= n.settings.slots {
+		select {
+		case n.watch.full <- struct{}{}:
+		default:
+		}
+	}
 	n.parts.Recorder.Record(wasabistand.Event{Kind: wasabistand.EventLimitChanged, Service: n.settings.service, Fields: []wasabistand.HeaderField{{Name: "limit", Value: strconv.Itoa(limit)}}})
 }
 
--- a/wasabinode/serve.go
+++ b/wasabinode/serve.go
@@ -8,12 +8,18 @@
 	"github.com/wasabistand/wasabistand/wasabicall"
 )
 
-// run admits an attempt to the local upstream and forwards it. Both the link
-// and the node's own callers come here.
+// run is the carrier to the local upstream for the node's own callers.
 func (n *Node) run(ctx context.Context, a *attempt, s sink) ending {
 	refusal := n.serving.enter(false)
 	if refusal == nil {
 		defer n.serving.leave()
+	}
+	return n.serve(ctx, a, s, refusal)
+}
+
+// serve is run for an attempt that was let in, or refused.
+func (n *Node) serve(ctx context.Context, a *attempt, s sink, refusal *wasabistand.Refusal) ending {
+	if refusal == nil {
 		refusal = n.servable(a)
 	}
 	var e ending
--- a/wasabinode/settings.go
+++ b/wasabinode/settings.go
@@ -26,6 +26,7 @@
 	bodyIdleTimeout time.Duration
 	idleTimeout     time.Duration
 	watchInterval   time.Duration
+	coldTime        time.Duration
 	maxHeaderBytes  int
 	replayBytes     int
 	maxOpenCalls    int
@@ -57,10 +58,12 @@
 		bodyIdleTimeout: 30 * time.Second,
 		idleTimeout:     2 * time.Minute,
 		watchInterval:   250 * time.Millisecond,
-		maxHeaderBytes:  32 << 10,
-		replayBytes:     64 << 10,
-		maxOpenCalls:    4096,
-		maxCallers:      4096,
+		// Longer than most upstreams take to fill their caches and pools.
+		coldTime:       10 * time.Second,
+		maxHeaderBytes: 32 << 10,
+		replayBytes:    64 << 10,
+		maxOpenCalls:   4096,
+		maxCallers:     4096,
 	}
 }
 
@@ -107,6 +110,10 @@
 // connections again every d.
 func (s Settings) WithWatchInterval(d time.Duration) Settings { s.watchInterval = d; return s }
 
+// WithColdTime returns a copy that announces an upstream as cold for at most d
+// after it accepts connections.
+func (s Settings) WithColdTime(d time.Duration) Settings { s.coldTime = d; return s }
+
 // WithMaxHeaderBytes returns a copy with another bound on a request's headers.
 func (s Settings) WithMaxHeaderBytes(n int) Settings { s.maxHeaderBytes = n; return s }
 
--- a/wasabinode/state.go
+++ b/wasabinode/state.go
@@ -58,6 +58,7 @@
 	instance wasabistand.Instance
 	leaving  bool
 	up       bool // the upstream accepts connections
+	warm     bool // it has done so for a while
 }
 
 func (a *announcement) init(n *Node) {
@@ -125,7 +126,7 @@
 		a.instance.State = wasabistand.Leaving
 	case !a.up && a.instance.State != wasabistand.Cold:
 		a.instance.State = wasabistand.Leaving
-	case a.up && configured:
+	case a.up && a.warm && configured:
 		a.instance.State = wasabistand.Ready
 	case a.up:
 		a.instance.State = wasabistand.Cold
@@ -138,7 +139,8 @@
 	address string
 	mu      sync.Mutex
 	refused int
-	wake    chan struct{}
+	wake    chan struct{} // calls find the upstream closed
+	full    chan struct{} // the limit has reached the declared slots
 }
 
 // refusedBeforeDown is how many calls in a row find the upstream closed
@@ -147,7 +149,7 @@
 const refusedBeforeDown = 3
 
 func newWatch(n *Node, address string) *watch {
-	return &watch{node: n, address: address, wake: make(chan struct{}, 1)}
+	return &watch{node: n, address: address, wake: make(chan struct{}, 1), full: make(chan struct{}, 1)}
 }
 
 // observe takes note of how a call at the upstream ended.
@@ -179,11 +181,21 @@
 			}
 		}
 		w.node.setUp(true)
-		select {
-		case <-ctx.Done():
-			return
-		case <-w.wake:
+		warm := time.NewTimer(w.node.settings.coldTime)
+		for up := true; up; {
+			select {
+			case <-ctx.Done():
+				warm.Stop()
+				return
+			case <-warm.C:
+				w.node.setWarm()
+			case <-w.full:
+				w.node.setWarm()
+			case <-w.wake:
+				up = false
+			}
 		}
+		warm.Stop()
 	}
 }
 
@@ -203,6 +215,20 @@
 	return true
 }
 
+func (n *Node) reachable() bool {
+	n.announced.mu.Lock()
+	defer n.announced.mu.Unlock()
+	return n.announced.up
+}
+
+// setWarm records that the upstream is no longer cold.
+func (n *Node) setWarm() {
+	n.announced.mu.Lock()
+	n.announced.warm = n.announced.up
+	n.announced.mu.Unlock()
+	n.announce(func(*wasabistand.Instance) {})
+}
+
 // setUp records whether the upstream accepts connections. One that comes back
 // starts cold.
 func (n *Node) setUp(up bool) {
@@ -210,6 +236,7 @@
 	a.mu.Lock()
 	returned := up && !a.up && a.instance.State == wasabistand.Leaving
 	a.up = up
+	a.warm = a.warm && up
 	a.mu.Unlock()
 	if returned {
 		n.gate.restart()
--- a/wasabinode/stream.go
+++ b/wasabinode/stream.go
@@ -20,6 +20,10 @@
 // startTimeout bounds the wait for a stream's first frame.
 const startTimeout = 5 * time.Second
 
+// endTimeout bounds the wait for the other node to close a stream whose last
+// frame was sent: a link that closes earlier can lose that frame.
+const endTimeout = time.Second
+
 // serveStream serves one call of another node.
 func (n *Node) serveStream(ctx context.Context, kind wasabistandv1.StreamOpen_Kind, stream *wasabilink.Stream) {
 	if kind != wasabistandv1.StreamOpen_KIND_CALL {
@@ -57,10 +61,14 @@
 		_ = stream.SetDeadline(past)
 		cancel(errCallerGone)
 	}()
-	e := n.run(life, a, out)
-	n.end(stream, e)
-	_ = stream.SetDeadline(past)
+	refusal := n.serving.enter(false)
+	if refusal == nil {
+		// The call counts as open until the other node has all of its answer.
+		defer n.serving.leave()
+	}
+	n.end(stream, n.serve(life, a, out, refusal))
 	body.close()
+	_ = stream.SetDeadline(time.Now().Add(endTimeout))
 	<-ended
 }
 
--- a/wasabinode/upstream.go
+++ b/wasabinode/upstream.go
@@ -41,11 +41,7 @@
 		MaxIdleConnsPerHost: connections,
 		// Below the idle time after which servers usually close connections,
 		// since a request on a connection that was just closed may have run.
-		IdleConnTimeout:    30 * time.Second,
-		DisableKeepAlives:  false,
-		ForceAttemptHTTP2:  false,
-		MaxIdleConns:       0,
-		ProxyConnectHeader: nil,
+		IdleConnTimeout: 30 * time.Second,
 	}}
 }
 
@@ -199,6 +195,9 @@
 		return u.failed(ctx, err, watched.failure())
 	}
 	defer answer.Body.Close()
+	if answer.StatusCode < 200 {
+		return u.failed(ctx, Error.New("the upstream answered with status %d", answer.StatusCode), nil)
+	}
 	if answer.StatusCode == http.StatusServiceUnavailable && answer.Header.Get(wasabiheader.Shed) == call.Token() {
 		after, _ := strconv.Atoi(answer.Header.Get(wasabiheader.RetryAfter))
 		_, _ = io.CopyN(io.Discard, answer.Body, 4096)
