--- /dev/null
+++ b/wasabinode/outcome_test.go
@@ -0,0 +1,301 @@
+package wasabinode_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wasabistand/wasabistand"
+	"github.com/wasabistand/wasabistand/wasabinode"
+)
+
+// counter counts the calls that reach an upstream.
+type counter struct {
+	n atomic.Int64
+	h http.HandlerFunc
+}
+
+func (c *counter) ServeHTTP(w http.ResponseWriter, r *http.Request) { c.n.Add(1); c.h(w, r) }
+
+func cutting(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func shedding(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Wasabi-Shed", r.Header.Get("Wasabi-Call"))
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// Guards against retries of calls that may have run and are not idempotent,
+// and against retries at the same instance.
+func TestRetriesOnlyWhatIsSafeAtAnotherInstance(t *testing.T) {
+	answering := func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) }
+	plain503 := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }
+	for _, c := range []struct {
+		name         string
+		first        http.HandlerFunc
+		method, path string
+		status       int
+		second       int64
+	}{
+		{"idempotent cut", cutting, "PUT", "/put", 200, 1},
+		{"non-idempotent cut", cutting, "POST", "/approve", 502, 0},
+		{"non-idempotent shed with its token", shedding, "POST", "/approve", 200, 1},
+		{"503 without the token is an answer", plain503, "PUT", "/put", 503, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := newMesh(t)
+			first, second := &counter{h: c.first}, &counter{h: answering}
+			m.add("b1", "b", first.ServeHTTP)
+			m.add("b2", "b", second.ServeHTTP)
+			a := m.add("a1", "a", noCall)
+			// The router prefers the nearer instance.
+			m.lists["b"][0].Location, m.lists["b"][1].Location = m.lists["a"][0].Location, wasabistand.Location{Region: "local", FailureDomain: "other"}
+			m.ready()
+			r := request(t, a, c.method, "b", c.path, "Idempotency-Key", "k1")
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader("body")), 4
+			w := m.do(r)
+			assert.Equal(t, w.status, c.status)
+			assert.Equal(t, first.n.Load(), int64(1))
+			assert.Equal(t, second.n.Load(), c.second)
+			if c.status == 200 {
+				assert.Equal(t, w.body, "body")
+			}
+			if c.status == 502 {
+				assert.Equal(t, w.header.Get("Wasabi-Outcome"), "unknown")
+			}
+		})
+	}
+}
+
+// Guards against an upstream's failure that is reported as not run because a
+// call further down was refused.
+func TestRefusalFurtherDownIsNoRefusalOfTheCall(t *testing.T) {
+	m := newMesh(t)
+	m.add("b1", "b", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Wasabi-Outcome", "not-run")
+		w.Header().Set("Wasabi-Shed", "token of another call")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	a := m.add("a1", "a", noCall)
+	m.ready()
+	w := m.do(request(t, a, "GET", "b", "/read/x"))
+	assert.Equal(t, w.header.Get("Wasabi-Outcome"), "answered")
+}
+
+// below makes an upstream that calls another service through its own node.
+func below(m *mesh, node **wasabinode.Node, service string, resend int) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		for range 1 + resend {
+			out := request(m.t, *node, "GET", service, r.URL.Path)
+			out.Header.Set("Wasabi-Call", r.Header.Get("Wasabi-Call"))
+			answer, err := m.client.Do(out.WithContext(r.Context()))
+			if err != nil {
+				panic(http.ErrAbortHandler)
+			}
+			_, err = io.Copy(io.Discard, answer.Body)
+			if err = errors.Join(err, answer.Body.Close()); err == nil && answer.StatusCode == 200 {
+				return
+			}
+		}
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// Guards against retries that multiply from hop to hop: whatever the depth, a
+// request causes its first attempts and at most its allowance of retries.
+func TestRetriesOfOneTreeAreBounded(t *testing.T) {
+	m := newMesh(t)
+	leaf := &counter{h: cutting}
+	m.add("c1", "c", leaf.ServeHTTP)
+	m.add("c2", "c", leaf.ServeHTTP)
+	var b1, b2, a *wasabinode.Node
+	b1 = m.add("b1", "b", func(w http.ResponseWriter, r *http.Request) { below(m, &b1, "c", 0)(w, r) })
+	b2 = m.add("b2", "b", func(w http.ResponseWriter, r *http.Request) { below(m, &b2, "c", 0)(w, r) })
+	a = m.add("a1", "a", func(w http.ResponseWriter, r *http.Request) { below(m, &a, "b", 0)(w, r) })
+	m.ready()
+	w := m.do(request(t, a, "GET", "a", "/read/x"))
+	assert.Equal(t, w.status, 502)
+	assert.Assert(t, leaf.n.Load() >= 2 && leaf.n.Load() <= 1+3, "%d calls reached the leaf", leaf.n.Load())
+}
+
+// Guards against an upstream that loses the token and gains retries by it.
+func TestUnknownTokenGetsNoRetry(t *testing.T) {
+	m := newMesh(t)
+	leaf := &counter{h: cutting}
+	m.add("b1", "b", leaf.ServeHTTP)
+	m.add("b2", "b", leaf.ServeHTTP)
+	a := m.add("a1", "a", noCall)
+	m.ready()
+	assert.Equal(t, m.do(request(t, a, "GET", "b", "/read/x", "Wasabi-Call", "ended")).status, 502)
+	assert.Equal(t, leaf.n.Load(), int64(1))
+}
+
+// Guards against a refused call that runs all the same, and against one that
+// holds its slot after it ended.
+func TestRefusedCallNeverReachesTheUpstream(t *testing.T) {
+	m := newMesh(t)
+	m.settings = func(s wasabinode.Settings) wasabinode.Settings { return s.WithCapacity(1, 1) }
+	release := make(chan struct{})
+	started := make(chan string, 10)
+	s := m.contracts.Services["a"]
+	s.QueueLimit = 0
+	m.contracts.Services["a"] = s
+	a := m.add("a1", "a", func(_ http.ResponseWriter, r *http.Request) { started <- r.URL.Path; <-release })
+	m.ready()
+	done := make(chan whole)
+	go func() { done <- m.do(request(t, a, "GET", "a", "/read/first")) }()
+	assert.Equal(t, <-started, "/read/first")
+	m.refused(request(t, a, "GET", "a", "/read/second"), 503, "not-run", "queue-full")
+	close(release)
+	assert.Equal(t, (<-done).status, 200)
+	assert.Equal(t, m.do(request(t, a, "GET", "a", "/read/third")).status, 200)
+	assert.Equal(t, <-started, "/read/third")
+	assert.Equal(t, len(started), 0)
+}
+
+// Guards against a non-idempotent call that runs twice when it is resent:
+// while it runs, after it was answered, through another node, with another
+// body, and when its caller has left.
+func TestSameKeyRunsOnce(t *testing.T) {
+	m := newMesh(t)
+	started, release := make(chan struct{}, 10), make(chan struct{})
+	up := &counter{h: func(w http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		started <- struct{}{}
+		<-release
+		_, _ = w.Write(append(b, "!"...))
+	}}
+	m.add("b1", "b", up.ServeHTTP)
+	m.add("b2", "b", up.ServeHTTP)
+	a1, a2 := m.add("a1", "a", noCall), m.add("a2", "a", noCall)
+	m.ready()
+	approve := func(ctx context.Context, n *wasabinode.Node, body string) *http.Request {
+		r := request(t, n, "POST", "b", "/approve", "Idempotency-Key", "k")
+		r.Body, r.ContentLength = io.NopCloser(strings.NewReader(body)), int64(len(body))
+		return r.WithContext(ctx)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	failed := make(chan error, 1)
+	go func() {
+		answer, err := m.client.Do(approve(ctx, a1, "report"))
+		if err == nil {
+			_ = answer.Body.Close()
+		}
+		failed <- err
+	}()
+	<-started
+	cancel()
+	assert.Assert(t, errors.Is(<-failed, context.Canceled))
+	w := m.refused(approve(t.Context(), a2, "report"), 409, "already-running", "already-running")
+	assert.Assert(t, w.header.Get("Retry-After") != "")
+	m.refused(approve(t.Context(), a2, "other!"), 422, "not-run", "key-reused")
+	close(release)
+	s := <-m.claims.settled
+	assert.Equal(t, s.Outcome, wasabistand.Answered)
+	w = m.do(approve(t.Context(), a2, "report"))
+	assert.Equal(t, w.body, "report!")
+	assert.Equal(t, w.header.Get("Wasabi-Replayed"), "true")
+	assert.Equal(t, up.n.Load(), int64(1))
+}
+
+// faults dials links whose connections a test can cut.
+type faults struct {
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+func (f *faults) dial(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err == nil {
+		f.mu.Lock()
+		f.conns = append(f.conns, c)
+		f.mu.Unlock()
+	}
+	return c, err
+}
+
+func (f *faults) cut() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range f.conns {
+		_ = c.Close()
+	}
+}
+
+// Guards against a lost link that is reported as not run, and against a second
+// run of a call whose outcome is unknown.
+func TestLostLinkAfterDispatchIsUnknown(t *testing.T) {
+	m := newMesh(t)
+	f := &faults{}
+	m.dial = f.dial
+	started, release := make(chan struct{}, 10), make(chan struct{})
+	up := &counter{h: func(http.ResponseWriter, *http.Request) { started <- struct{}{}; <-release }}
+	m.add("b1", "b", up.ServeHTTP)
+	m.add("b2", "b", up.ServeHTTP)
+	a := m.add("a1", "a", noCall)
+	m.ready()
+	done := make(chan whole)
+	go func() { done <- m.do(request(t, a, "POST", "b", "/approve", "Idempotency-Key", "k")) }()
+	<-started
+	f.cut()
+	w := <-done
+	assert.Equal(t, w.status, 502)
+	assert.Equal(t, w.header.Get("Wasabi-Outcome"), "unknown")
+	assert.Equal(t, (<-m.claims.settled).Outcome, wasabistand.Unknown)
+	m.refused(request(t, a, "POST", "b", "/approve", "Idempotency-Key", "k"), 502, "unknown", "claim-outcome-unknown")
+	close(release)
+	assert.Equal(t, up.n.Load(), int64(1))
+}
+
+// Guards against an unreachable instance that is reported as unknown, and
+// against a claim that is kept for a call that did not run.
+func TestUnreachableInstanceIsNotRun(t *testing.T) {
+	m := newMesh(t)
+	m.dial = func(context.Context, string) (net.Conn, error) { return nil, errors.New("no route") }
+	m.add("b1", "b", noCall)
+	a := m.add("a1", "a", noCall)
+	m.ready()
+	m.refused(request(t, a, "POST", "b", "/approve", "Idempotency-Key", "k"), 503, "not-run", "connect")
+	assert.Equal(t, (<-m.claims.settled).Outcome, wasabistand.NotRun)
+}
+
+// Guards against late answers that reach the caller of another call on the
+// same link.
+func TestLateAnswersNeverMix(t *testing.T) {
+	m := newMesh(t)
+	m.settings = func(s wasabinode.Settings) wasabinode.Settings { return s.WithCapacity(64, 64) }
+	m.add("b1", "b", func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/late") {
+			// Answers after the caller's patience.
+			<-r.Context().Done()
+		}
+		for range 20 {
+			_, _ = io.WriteString(w, r.Header.Get("Wasabi-Request")+"\n")
+			_ = http.NewResponseController(w).Flush()
+		}
+	})
+	a := m.add("a1", "a", noCall)
+	m.ready()
+	var wait sync.WaitGroup
+	for i := range 40 {
+		wait.Go(func() {
+			id := strings.Repeat("i", i+1)
+			if i%2 == 0 {
+				w := m.do(request(t, a, "GET", "b", "/read/late", "Wasabi-Request", id, "Wasabi-Timeout", "30"))
+				assert.Check(t, w.status == 504 && w.header.Get("Wasabi-Outcome") != "answered", w.body)
+				return
+			}
+			w := m.do(request(t, a, "GET", "b", "/read/x", "Wasabi-Request", id))
+			assert.Check(t, w.body == strings.Repeat(id+"\n", 20), w.body)
+		})
+	}
+	wait.Wait()
+}
--- a/wasabinode/state.go
+++ b/wasabinode/state.go
@@ -58,6 +58,7 @@
 	instance wasabistand.Instance
 	leaving  bool
 	up       bool // the upstream accepts connections
+	seen     bool // it has done so before
 	warm     bool // it has done so for a while
 }
 
@@ -124,7 +125,7 @@
 	switch {
 	case a.leaving:
 		a.instance.State = wasabistand.Leaving
-	case !a.up && a.instance.State != wasabistand.Cold:
+	case !a.up && a.seen:
 		a.instance.State = wasabistand.Leaving
 	case a.up && a.warm && configured:
 		a.instance.State = wasabistand.Ready
@@ -234,8 +235,8 @@
 func (n *Node) setUp(up bool) {
 	a := &n.announced
 	a.mu.Lock()
-	returned := up && !a.up && a.instance.State == wasabistand.Leaving
-	a.up = up
+	returned := up && !a.up && a.seen
+	a.up, a.seen = up, a.seen || up
 	a.warm = a.warm && up
 	a.mu.Unlock()
 	if returned {
