--- a/wasabinode/body.go
+++ b/wasabinode/body.go
@@ -160,8 +160,8 @@
 	default:
 		b.overflow = true
 	}
-	if err == nil && b.limit > 0 && b.consumed > b.limit {
-		err = errBodyLarge
+	if (err == nil || errors.Is(err, io.EOF)) && b.limit > 0 && b.consumed > b.limit {
+		n, err = 0, errBodyLarge
 	}
 	if err != nil {
 		b.err = err
--- a/wasabinode/entry.go
+++ b/wasabinode/entry.go
@@ -90,7 +90,7 @@
 	if limit := c.contract.MaxBodyBytes; limit > 0 && r.ContentLength > limit {
 		return wasabistand.NewRefusal(wasabistand.ReasonTooLarge, fmt.Sprintf("Content-Length: %d, at most %d are allowed", r.ContentLength, limit))
 	}
-	name, retries := n.identify(c)
+	retries := n.identify(c)
 	patience := c.caller.Patience
 	if t := c.contract.Timeout; t > 0 {
 		patience = min(patience, t)
@@ -107,38 +107,41 @@
 		return nil
 	}
 	c.allowance, c.importance = n.parts.Allowance(retries), c.contract.Importance
-	if after := n.shares.take(c.started, name, c.caller); after > 0 {
-		return wasabistand.NewRefusal(wasabistand.ReasonCallerShare, fmt.Sprintf("caller %q: more than %g calls a second", name, c.caller.CallsPerSecond)).WithRetryAfter(after)
+	if after := n.shares.take(c.started, c.view.account(c.caller.Name), c.caller); after > 0 {
+		return wasabistand.NewRefusal(wasabistand.ReasonCallerShare, fmt.Sprintf("caller %q: more than %g calls a second", c.caller.Name, c.caller.CallsPerSecond)).WithRetryAfter(after)
 	}
 	return nil
 }
 
-// identify finds the caller's contract. It returns the name under which the
-// caller's share is counted, and the retry allowance of a new call tree. A
-// call that may belong to a tree which can't be found gets no retry, so that
-// an upstream that loses the token does not multiply retries.
-func (n *Node) identify(c *incoming) (string, int) {
+// account returns the name under which a caller's share is counted. Callers
+// that are not listed share one account: a caller must not gain a new share by
+// giving itself a new name.
+func (v *view) account(caller string) string {
+	if _, ok := v.contracts.Callers[caller]; ok {
+		return caller
+	}
+	return wasabistand.DefaultCaller
+}
+
+// identify finds the caller's contract and returns the retry allowance of a
+// new call tree. A call that may belong to a tree which can't be found gets no
+// retry, so that an upstream that loses the token does not multiply retries.
+func (n *Node) identify(c *incoming) int {
 	contracts := c.view.contracts
 	if c.parent != nil {
 		// The tree's caller keeps its name, also for claims.
-		c.caller = contracts.Callers[c.parent.Caller]
-		if c.caller.Name == "" {
-			c.caller = contracts.Callers[wasabistand.DefaultCaller]
-			c.caller.Name = c.parent.Caller
-		}
-		return c.caller.Name, 0
+		c.caller = contracts.Callers[c.view.account(c.parent.Caller)]
+		c.caller.Name = c.parent.Caller
+		return 0
 	}
 	lost := c.fields.Call != "" || c.fields.Caller == "" || c.fields.Request != "" && n.calls.Serves(c.fields.Request)
 	name, retries := c.fields.Caller, contracts.Retry.PerRequest
 	if lost {
 		name, retries = n.settings.service, 0
 	}
-	var ok bool
-	if c.caller, ok = contracts.Callers[name]; !ok {
-		c.caller = contracts.Callers[wasabistand.DefaultCaller]
-		c.caller.Name = name
-	}
-	return name, retries
+	c.caller = contracts.Callers[c.view.account(name)]
+	c.caller.Name = name
+	return retries
 }
 
 // call brings a checked call to its end. A refusal means that nothing was
--- a/wasabinode/route.go
+++ b/wasabinode/route.go
@@ -36,6 +36,7 @@
 	var tried []string
 	var avoid string
 	n.budget.attempt(n.now())
+	n.learnOf(ctx, c.kind.Service)
 	for {
 		q := wasabistand.Query{
 			Service:    c.kind.Service,
@@ -75,6 +76,32 @@
 	}
 }
 
+// firstUseTime bounds the wait for the instances of a service that this node
+// has not called before: a push from control takes a few milliseconds.
+const firstUseTime = 250 * time.Millisecond
+
+// learnOf waits until control has told of a service's instances.
+func (n *Node) learnOf(ctx context.Context, service string) {
+	since, known := n.router.firstUse(n.now(), service)
+	if known || n.now().Sub(since) >= firstUseTime {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, firstUseTime)
+	defer cancel()
+	for {
+		changed := n.directory.Changed()
+		n.router.refresh(n.now(), n.directory)
+		if _, known := n.router.firstUse(n.now(), service); known {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // certain returns how a call ended whose earlier attempts may have run.
 func certain(e ending, uncertain bool) ending {
 	if uncertain && e.refusal.Outcome == wasabistand.NotRun {
--- a/wasabinode/serve.go
+++ b/wasabinode/serve.go
@@ -51,7 +51,7 @@
 		running, preempt = context.WithCancelCause(n.life)
 	}
 	defer preempt(nil)
-	ticket := wasabistand.Ticket{Caller: a.caller, Importance: a.importance, Deadline: a.deadline, Cancellable: a.idempotent}
+	ticket := wasabistand.Ticket{Caller: n.snapshot().account(a.caller), Importance: a.importance, Deadline: a.deadline, Cancellable: a.idempotent}
 	waiting, cancel := context.WithDeadline(ctx, a.deadline)
 	slot, refusal := n.gate.enter(waiting, ticket, preempt)
 	cancel()
--- a/wasabinode/shared.go
+++ b/wasabinode/shared.go
@@ -17,10 +17,11 @@
 	inner     wasabistand.Router
 	regions   []wasabistand.RegionLink
 	instances map[string][]wasabistand.Instance
+	used      map[string]time.Time
 }
 
 func newRouter(build func([]wasabistand.RegionLink) wasabistand.Router) *router {
-	return &router{make: build, inner: build(nil), instances: map[string][]wasabistand.Instance{}}
+	return &router{make: build, inner: build(nil), instances: map[string][]wasabistand.Instance{}, used: map[string]time.Time{}}
 }
 
 // configure replaces the router when the links between regions are declared
@@ -37,10 +38,16 @@
 	}
 }
 
-// setInstances replaces all instances.
-func (r *router) setInstances(now time.Time, all map[string][]wasabistand.Instance) {
+// refresh replaces all instances by the current view's. The view is read under
+// the mutex, so that an older one never replaces a newer one.
+func (r *router) refresh(now time.Time, d wasabistand.Directory) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	v := d.View()
+	if v == nil {
+		return
+	}
+	all := v.Instances
 	for service := range r.instances {
 		if _, ok := all[service]; !ok {
 			r.inner.SetInstances(now, service, nil)
@@ -57,6 +64,19 @@
 	}
 }
 
+// firstUse returns when a service was first called, and whether control has
+// told of its instances. Only declared services are called, so the table is
+// bounded by the configuration.
+func (r *router) firstUse(now time.Time, service string) (time.Time, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, ok := r.used[service]; !ok {
+		r.used[service] = now
+	}
+	_, known := r.instances[service]
+	return r.used[service], known
+}
+
 func (r *router) pick(now time.Time, q wasabistand.Query) (wasabistand.Instance, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/wasabinode/state.go
+++ b/wasabinode/state.go
@@ -37,7 +37,7 @@
 
 func (n *Node) apply(v *wasabistand.View) {
 	now := n.now()
-	n.router.setInstances(now, v.Instances)
+	n.router.refresh(now, n.directory)
 	current := n.view.Load()
 	if current != nil && current.revision >= v.Revision {
 		// A configuration is never reverted.
@@ -45,8 +45,8 @@
 	}
 	n.router.configure(now, v.Contracts.Regions)
 	n.budget.configure(v.Contracts.Retry)
-	n.view.Store(&view{revision: v.Revision, contracts: v.Contracts, index: wasabiconfig.NewIndex(v.Contracts)})
 	n.gate.configure(n.parts.Admission, v.Contracts.Services[n.settings.service])
+	n.view.Store(&view{revision: v.Revision, contracts: v.Contracts, index: wasabiconfig.NewIndex(v.Contracts)})
 	n.parts.Recorder.Record(wasabistand.Event{Kind: wasabistand.EventConfigInForce, Fields: []wasabistand.HeaderField{{Name: "revision", Value: formatUint(v.Revision)}}})
 	n.announce(func(i *wasabistand.Instance) { i.RevisionInForce = v.Revision })
 }
--- a/wasabinode/stream.go
+++ b/wasabinode/stream.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
 	"github.com/wasabistand/wasabistand"
 	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
 	"github.com/wasabistand/wasabistand/wasabiheader"
@@ -80,18 +82,24 @@
 	switch {
 	case err != nil || !strings.HasPrefix(m.Path, "/") || u.Host != "":
 		return nil, wasabistand.ErrInvalid.New("path: %.64q, allowed is an absolute path with query", m.Path)
-	case len(m.RequestId) > wasabiheader.MaxRequestBytes:
-		return nil, wasabistand.ErrInvalid.New("request_id: %d bytes, at most %d are allowed", len(m.RequestId), wasabiheader.MaxRequestBytes)
-	case len(m.IdempotencyKey) > wasabiheader.MaxKeyBytes:
-		return nil, wasabistand.ErrInvalid.New("idempotency_key: %d bytes, at most %d are allowed", len(m.IdempotencyKey), wasabiheader.MaxKeyBytes)
 	case m.ContentLength < -1:
 		return nil, wasabistand.ErrInvalid.New("content_length: %d, allowed are -1 and above", m.ContentLength)
 	case m.RetryAllowance > maxAllowance:
 		return nil, wasabistand.ErrInvalid.New("retry_allowance: %d, at most %d are allowed", m.RetryAllowance, maxAllowance)
 	}
-	for _, f := range []struct{ name, value string }{{"service", m.Service}, {"call", m.Call}, {"caller", m.Caller}, {"method", m.Method}} {
-		if len(f.value) > wasabiheader.MaxNameBytes {
-			return nil, wasabistand.ErrInvalid.New("%s: %d bytes, at most %d are allowed", f.name, len(f.value), wasabiheader.MaxNameBytes)
+	for _, f := range []struct {
+		name, value string
+		max         int
+	}{
+		{"service", m.Service, wasabiheader.MaxNameBytes},
+		{"call", m.Call, wasabiheader.MaxNameBytes},
+		{"caller", m.Caller, wasabiheader.MaxNameBytes},
+		{"method", m.Method, wasabiheader.MaxNameBytes},
+		{"request_id", m.RequestId, wasabiheader.MaxRequestBytes},
+		{"idempotency_key", m.IdempotencyKey, wasabiheader.MaxKeyBytes},
+	} {
+		if len(f.value) > f.max || !httpguts.ValidHeaderFieldValue(f.value) {
+			return nil, wasabistand.ErrInvalid.New("%s: %.64q, allowed are printable characters, at most %d bytes", f.name, f.value, f.max)
 		}
 	}
 	timeout := time.Duration(min(m.TimeoutUs, uint64(wasabiheader.MaxTimeout.Microseconds()))) * time.Microsecond
@@ -110,8 +118,14 @@
 		length:     m.ContentLength,
 		revision:   m.Revision,
 	}
+	if !httpguts.ValidHeaderFieldName(m.Method) {
+		return nil, wasabistand.ErrInvalid.New("method: %q, allowed is an HTTP token", m.Method)
+	}
 	for _, h := range m.Headers {
 		name := http.CanonicalHeaderKey(h.GetName())
+		if !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(h.GetValue()) {
+			return nil, wasabistand.ErrInvalid.New("headers: %.64q, allowed are HTTP fields", h.GetName())
+		}
 		if wasabiheader.Allowed(name) {
 			a.headers = append(a.headers, wasabistand.HeaderField{Name: name, Value: h.GetValue()})
 		}
