--- /dev/null
+++ b/wasabicall/call_test.go
@@ -0,0 +1,85 @@
+package wasabicall_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/wasabistand/wasabistand"
+	_ "github.com/wasabistand/wasabistand/internal/wasabiseed"
+	"github.com/wasabistand/wasabistand/wasabicall"
+)
+
+// Guards against time of outgoing calls that is counted twice or not at all:
+// any overlap must equal the count of ticks in which one was open.
+func TestBelowIsTheUnionOfIntervals(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := &wasabicall.Call{}
+		now := time.Unix(0, 0)
+		open, want := 0, time.Duration(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch step := rapid.IntRange(0, 2).Draw(t, "step"); {
+			case step == 0:
+				c.Begin(now)
+				open++
+			case step == 1 && open > 0:
+				c.End(now)
+				open--
+			default:
+				d := time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond
+				now = now.Add(d)
+				if open > 0 {
+					want += d
+				}
+			}
+			if got := c.Below(now); got != want {
+				t.Fatalf("below %v, want %v", got, want)
+			}
+		}
+	})
+}
+
+// Guards against a token that finds a call that has ended, and a registry that
+// grows.
+func TestRegistryForgetsEndedCalls(t *testing.T) {
+	r := wasabicall.New()
+	a, b := &wasabicall.Call{RequestID: "r"}, &wasabicall.Call{RequestID: "r"}
+	r.Add(a)
+	r.Add(b)
+	assert.Assert(t, a.Token() != b.Token())
+	assert.Equal(t, r.Find(a.Token()), a)
+	r.Remove(a)
+	r.Remove(a)
+	assert.Assert(t, r.Find(a.Token()) == nil && r.Find("") == nil)
+	assert.Assert(t, r.Serves("r"))
+	r.Remove(b)
+	assert.Assert(t, !r.Serves("r"))
+	assert.Equal(t, r.Len(), 0)
+}
+
+// Guards against a rare outgoing call that keeps all calls of a kind out, and
+// a usual one that keeps none.
+func TestNeedsCountUsualCallsOnly(t *testing.T) {
+	n := wasabicall.NewNeeds()
+	k := wasabistand.CallKind{Service: "a", Call: "x"}
+	usual, rare := wasabistand.CallKind{Service: "b", Call: "y"}, wasabistand.CallKind{Service: "c", Call: "z"}
+	for i := range 10_000 {
+		n.Made(k, usual)
+		if i%10 == 0 {
+			n.Made(k, rare)
+		}
+		n.Ran(k)
+	}
+	of := func(overloaded wasabistand.CallKind) wasabistand.Importance {
+		return n.Level(k, func(c wasabistand.CallKind) wasabistand.Importance {
+			if c == overloaded {
+				return wasabistand.High
+			}
+			return wasabistand.Low
+		})
+	}
+	assert.Equal(t, of(usual), wasabistand.High)
+	assert.Equal(t, of(rare), wasabistand.Low)
+}
