--- a/wasabinode/serve.go
+++ b/wasabinode/serve.go
@@ -8,12 +8,18 @@
 	"github.com/wasabistand/wasabistand/wasabicall"
 )
 
-// run admits an attempt to the local upstream and forwards it. Both the link
-// and the node's own callers come here.
+// run is the carrier to the local upstream for the node's own callers.
 func (n *Node) run(ctx context.Context, a *attempt, s sink) ending {
 	refusal := n.serving.enter(false)
 	if refusal == nil {
 		defer n.serving.leave()
+	}
+	return n.serve(ctx, a, s, refusal)
+}
+
+// serve is run for an attempt that was let in, or refused.
+func (n *Node) serve(ctx context.Context, a *attempt, s sink, refusal *wasabistand.Refusal) ending {
+	if refusal == nil {
 		refusal = n.servable(a)
 	}
 	var e ending
@@ -45,7 +51,7 @@
 		running, preempt = context.WithCancelCause(n.life)
 	}
 	defer preempt(nil)
-	ticket := wasabistand.Ticket{Caller: a.caller, Importance: a.importance, Deadline: a.deadline, Cancellable: a.idempotent}
+	ticket := wasabistand.Ticket{Caller: n.snapshot().account(a.caller), Importance: a.importance, Deadline: a.deadline, Cancellable: a.idempotent}
 	waiting, cancel := context.WithDeadline(ctx, a.deadline)
 	slot, refusal := n.gate.enter(waiting, ticket, preempt)
 	cancel()
