Try an instance that answered that it leaves as a last resort

Cause: an answer that says leaving kept the only instance of a service out of the routes until control sent a newer announcement, also after its upstream was back. TestDeadUpstreamIsAnnounced of wasabinode failed on this. Change: such an instance ranks after all others while control still lists it as ready, and its next answer counts. Instances that control lists as leaving or drained still get nothing.

--- a/wasabiroute/instance.go
+++ b/wasabiroute/instance.go
@@ -38,7 +38,7 @@
 		*i = instance{outstanding: i.outstanding, link: i.link, reserved: i.reserved}
 	}
 	// Control may lag behind the instance's own answer; only a newer
-	// announcement revokes it.
+	// announcement or answer revokes it.
 	if v.Sequence > i.Sequence {
 		i.leaving = false
 	}
@@ -50,7 +50,7 @@
 
 // takes reports whether the instance may get the call at all.
 func (i *instance) takes(q *wasabistand.Query) bool {
-	return i.TakesWork() && !i.leaving && !slices.Contains(q.Exclude, i.ID)
+	return i.TakesWork() && !slices.Contains(q.Exclude, i.ID)
 }
 
 // weight is the part of its full share that the instance gets.
@@ -94,6 +94,8 @@
 	switch {
 	case !i.takes(q):
 		return rankNone
+	case i.leaving:
+		return rankLeaving
 	case i.ejected(now):
 		return rankEjected
 	case i.refuses(now, q.Importance):
@@ -115,6 +117,8 @@
 	switch {
 	case !i.takes(q):
 		return rankNone
+	case i.leaving:
+		return rankLeaving
 	case i.ejected(now):
 		return rankEjected
 	case i.refuses(now, q.Importance), !i.free(now, o.warmup):
@@ -130,9 +134,7 @@
 
 // learn records what an answer told of the instance's load.
 func (i *instance) learn(now time.Time, l *wasabistand.Load, avoid time.Duration) {
-	if l.Leaving {
-		i.leaving = true
-	}
+	i.leaving = l.Leaving
 	i.busyUntil = time.Time{}
 	if l.Waiting > 0 {
 		// A queue changes within a few calls, so this is believed for half
--- a/wasabiroute/router.go
+++ b/wasabiroute/router.go
@@ -101,8 +101,9 @@
 type rank int
 
 // The ranks. Another region comes after any free instance of the own one, but
-// before full ones. Instances that failed or refused are a last resort, since
-// a refusal here would be certain.
+// before full ones. Instances that failed, refused, or answered that they leave
+// while control lists them as ready are a last resort: they refuse as not run
+// themselves, and one whose upstream is back is found again.
 const (
 	rankSameDomain rank = iota
 	rankSameRegion
@@ -114,6 +115,7 @@
 	rankRefused
 	rankOtherRegionFull
 	rankEjected
+	rankLeaving
 	rankNone
 )
 
--- a/wasabiroute/router_test.go
+++ b/wasabiroute/router_test.go
@@ -240,6 +240,13 @@
 	r.Done(start, "archive", i.ID, wasabistand.Result{Outcome: wasabistand.Answered, Load: &wasabistand.Load{Leaving: true}})
 	r.SetInstances(start, "archive", list)
 	assert.Equal(t, drive(r, start, 100, none)[i.ID], 0)
+	// Alone it is tried: it refuses itself, or it has come back.
+	r.SetInstances(start, "archive", []wasabistand.Instance{i})
+	assert.Equal(t, drive(r, start, 1, none)[i.ID], 1)
+	// Once control says so, it gets nothing at all.
+	r.SetInstances(start, "archive", []wasabistand.Instance{i.WithState(wasabistand.Leaving)})
+	_, err = r.Pick(start, query())
+	assert.ErrorContains(t, err, "no-instance")
 }
 
 // Guards against a cold instance that gets its full share at once, or nothing.
