--- a/wasabistate/claims.go
+++ b/wasabistate/claims.go
@@ -21,6 +21,8 @@
 type owner struct {
 	ownerKey
 	claims int
+	// number is the owner's place in the snapshot that is being made, from 1.
+	number uint32
 }
 
 // answer is what is kept of a recorded answer. The digest covers the answer
--- a/wasabistate/snapshot.go
+++ b/wasabistate/snapshot.go
@@ -36,21 +36,21 @@
 	for i := range m.identities.queue.len() {
 		s.Identities = append(s.Identities, fromIdentity(m.identities.queue.at(i)))
 	}
-	numbers := make(map[*owner]uint32, len(m.claims.owners))
-	m.claims.each(func(c *claim) {
-		if _, ok := numbers[c.owner]; !ok {
-			numbers[c.owner] = uint32(len(s.Owners))
+	for _, o := range m.claims.owners {
+		o.number = 0
+	}
+	// Claims stand first, so that one walk encodes them and numbers their
+	// owners; the order of fields does not matter to readers.
+	b := make([]byte, 0, m.claims.count()*maxClaimBytes+int(m.claims.answerBytes))
+	for c := m.claims.queue.next; c != m.claims.queue; c = c.next {
+		if c.owner.number == 0 {
 			s.Owners = append(s.Owners, &wasabistandv1.SnapshotOwner{Instance: c.owner.instance, Incarnation: c.owner.incarnation})
+			c.owner.number = uint32(len(s.Owners))
 		}
-	})
-	header, err := proto.MarshalOptions{Deterministic: true}.Marshal(s)
-	if err != nil {
-		return nil, Error.Wrap(err)
+		b = appendClaim(b, c, c.owner.number-1)
 	}
-	b := make([]byte, 0, len(header)+m.claims.count()*maxClaimBytes+int(m.claims.answerBytes))
-	b = append(b, header...)
-	m.claims.each(func(c *claim) { b = appendClaim(b, c, numbers[c.owner]) })
-	return b, nil
+	b, err := proto.MarshalOptions{Deterministic: true}.MarshalAppend(b, s)
+	return b, Error.Wrap(err)
 }
 
 // maxClaimBytes is the size of an encoded SnapshotClaim without its answer:
@@ -98,12 +98,6 @@
 	return protowire.AppendBytes(protowire.AppendTag(b, number, protowire.BytesType), value)
 }
 
-func (s *claims) each(f func(c *claim)) {
-	for c := s.queue.next; c != s.queue; c = c.next {
-		f(c)
-	}
-}
-
 func fromIdentity(i *identity) *wasabistandv1.SnapshotIdentity {
 	e := &wasabistandv1.SnapshotIdentity{
 		Command:        &wasabistandv1.CommandIdentity{Id: i.id, IssuedUnixMs: i.issued},
