Serve streams between control instances to members only

Cause: any process of the cluster could send an operator's command over a link without a token, and votes or the membership of others. A claim that was sent to two leaders was not released when only the second one refused it. Change: those streams need the name of a member of a group; a claim that was sent twice is released after its expiry.

--- a/wasabicontrol/bench_test.go
+++ b/wasabicontrol/bench_test.go
@@ -214,3 +214,48 @@
 		})
 	}
 }
+
+// BenchmarkLeaderLoss measures the time from the loss of root's leader until a
+// claim is granted, a change is accepted and it is in force on all nodes. A
+// leader that is cut off stays reachable for nodes.
+func BenchmarkLeaderLoss(b *testing.B) {
+	const size = 300
+	for _, kind := range []string{"killed", "cut-off"} {
+		b.Run(kind, func(b *testing.B) {
+			var claimed, accepted, inForce []time.Duration
+			for k := range b.N {
+				f := newFleet(b, size)
+				id := f.c.leader(b)
+				start := time.Now()
+				if kind == "killed" {
+					f.c.kill(id)
+				} else {
+					f.c.sides[id].Store(1)
+				}
+				var wait sync.WaitGroup
+				wait.Go(func() {
+					f.nodes[k%size].take(b, claim("key", 1))
+					claimed = append(claimed, time.Since(start))
+				})
+				operator := f.c.ids[0]
+				if operator == id {
+					operator = f.c.ids[1]
+				}
+				revision := f.c.mustApply(operator, 1, "change", "2s")
+				accepted = append(accepted, time.Since(start))
+				for _, n := range f.nodes {
+					n.await(b, "revision", atLeast(revision))
+				}
+				inForce = append(inForce, time.Since(start))
+				wait.Wait()
+				for _, n := range f.nodes {
+					n.close()
+				}
+				f.c.close()
+			}
+			for name, list := range map[string][]time.Duration{"claim": claimed, "accepted": accepted, "inforce": inForce} {
+				b.ReportMetric(float64(slices.Max(list).Milliseconds()), name+"-max-ms")
+			}
+		})
+	}
+}
--- a/wasabicontrol/instance.go
+++ b/wasabicontrol/instance.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -162,6 +163,13 @@
 		return
 	}
 	switch kind {
+	case wasabistandv1.StreamOpen_KIND_GROUP, wasabistandv1.StreamOpen_KIND_MEMBERS, wasabistandv1.StreamOpen_KIND_FORWARD:
+		if peer := s.Link().Peer().Instance; !i.isMember(peer) {
+			i.log.Warn().Str("peer", peer).Int32("kind", int32(kind)).Msg("stream of an instance that is no member of a group")
+			return
+		}
+	}
+	switch kind {
 	case wasabistandv1.StreamOpen_KIND_SESSION:
 		i.serveSession(ctx, s)
 	case wasabistandv1.StreamOpen_KIND_CLAIMS:
@@ -177,6 +185,21 @@
 	}
 }
 
+// isMember reports whether an instance takes part in any group, by the log or
+// by the settings, which a joining instance has only: members alone may send
+// commands, votes and the membership of others.
+func (i *Instance) isMember(id string) bool {
+	for _, g := range i.settings.groups {
+		if slices.ContainsFunc(g.Members, func(m Member) bool { return m.ID == id }) {
+			return true
+		}
+		if own := i.groups[g.Name]; own != nil && slices.ContainsFunc(own.runner.Status().Members, func(m wasabiraft.MemberStatus) bool { return m.ID == id }) {
+			return true
+		}
+	}
+	return false
+}
+
 func (i *Instance) serveGroup(s *wasabilink.Stream) {
 	for {
 		f := new(wasabistandv1.GroupFrame)
--- a/wasabisession/home.go
+++ b/wasabisession/home.go
@@ -50,6 +50,10 @@
 			}
 			r, pending := c.do(actx, request)
 			cancel()
+			if pending != nil && late != nil {
+				// Either of two requests may have been accepted.
+				pending = noAnswer
+			}
 			if pending != nil {
 				late = pending
 			}
