Test outcomes against an oracle

A property test runs random scripts of answers, sheds and cuts over three instances and compares each outcome, attempt count, run count and resend with an oracle. A call refused for its deadline by one instance may now be tried at another, and labels no longer take names from other nodes.

--- a/wasabinode/leave_test.go
+++ b/wasabinode/leave_test.go
@@ -111,6 +111,7 @@
 // unknown, or loses or doubles the run of one.
 func TestStopUnderLoadLosesNothing(t *testing.T) {
 	m := newMesh(t)
+	m.settings = func(s wasabinode.Settings) wasabinode.Settings { return s.WithGoAwayTime(2 * time.Second) }
 	var mu sync.Mutex
 	runs := map[string]int{}
 	serve := func(w http.ResponseWriter, r *http.Request) {
--- a/wasabinode/metrics.go
+++ b/wasabinode/metrics.go
@@ -73,6 +73,6 @@
 	m.retries.WithLabelValues(k.Service, k.Call, string(knownReason(reason))).Inc()
 }
 
-func (m *metrics) served(a *attempt, outcome string, reason wasabistand.Reason) {
-	m.upstream.WithLabelValues(a.kind.Call, a.importance.String(), outcome, string(reason)).Inc()
+func (m *metrics) served(call string, a *attempt, outcome string, reason wasabistand.Reason) {
+	m.upstream.WithLabelValues(call, a.importance.String(), outcome, string(reason)).Inc()
 }
--- a/wasabinode/node.go
+++ b/wasabinode/node.go
@@ -196,19 +196,15 @@
 	return errors.Join(err, n.Close())
 }
 
-const (
-	// goAwayTime is what the word to open no more streams takes to arrive,
-	// and what was sent before it: several times the way between regions.
-	goAwayTime = 100 * time.Millisecond
-	quietPoll  = 5 * time.Millisecond
-)
+// quietPoll is how often a leaving node looks whether all streams have ended.
+const quietPoll = 5 * time.Millisecond
 
 // quiet returns once other nodes send nothing more and no claim is being
 // settled. A call that is sent on a closing link would be reported as unknown
 // although it was certainly not run.
 func (n *Node) quiet(ctx context.Context) error {
 	n.links.GoAway("leaving")
-	until := time.Now().Add(goAwayTime)
+	until := time.Now().Add(n.settings.goAwayTime)
 	for time.Now().Before(until) || n.streams.Load() > 0 || n.settling.Load() > 0 {
 		select {
 		case <-ctx.Done():
--- /dev/null
+++ b/wasabinode/oracle_test.go
@@ -0,0 +1,154 @@
+package wasabinode_test
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/wasabistand/wasabistand"
+	_ "github.com/wasabistand/wasabistand/internal/wasabiseed"
+)
+
+// scripted is an upstream that does for each attempt of a request what the
+// request's script says, and counts what ran.
+type scripted struct {
+	mu       sync.Mutex
+	attempts map[string]int
+	runs     map[string]int
+}
+
+func (s *scripted) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	script := strings.Split(r.Header.Get("X-Script"), ",")
+	id := r.Header.Get("Wasabi-Request")
+	s.mu.Lock()
+	act := script[min(s.attempts[id], len(script)-1)]
+	s.attempts[id]++
+	if act != "shed" {
+		s.runs[id]++
+	}
+	s.mu.Unlock()
+	switch act {
+	case "ok":
+		_, _ = w.Write(body)
+	case "503":
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = w.Write(body)
+	case "shed":
+		shedding(w, r)
+	case "cut":
+		panic(http.ErrAbortHandler)
+	case "half":
+		w.Header().Set("Content-Length", fmt.Sprint(len(body)+1))
+		_, _ = w.Write(body)
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// expect is the oracle: how a call with a script ends over n instances, how
+// many attempts it makes and how many of them run.
+func expect(script []string, idempotent bool, n int) (outcome string, attempts, runs int) {
+	uncertain := false
+	for attempts < n {
+		act := script[min(attempts, len(script)-1)]
+		attempts++
+		if act != "shed" {
+			runs++
+		}
+		switch act {
+		case "ok", "503":
+			return "answered", attempts, runs
+		case "half":
+			return "cut", attempts, runs
+		case "cut":
+			uncertain = true
+			if !idempotent {
+				return "unknown", attempts, runs
+			}
+		}
+	}
+	if uncertain {
+		return "unknown", attempts, runs
+	}
+	return "not-run", attempts, runs
+}
+
+// Guards against outcomes that are not true: against random scripts of faults
+// an oracle says how each call must end, how often it may reach an upstream
+// and what a resend with the same key must get.
+func TestOutcomesAgainstOracle(t *testing.T) {
+	m := newMesh(t)
+	m.contracts.Retry = wasabistand.RetryContract{PerRequest: 3, SharePercent: 10, MinPerSecond: 1e6}
+	s := &scripted{attempts: map[string]int{}, runs: map[string]int{}}
+	const instances = 3
+	for i := range instances {
+		m.add(fmt.Sprint("b", i), "b", s.ServeHTTP)
+	}
+	a := m.add("a1", "a", noCall)
+	m.ready()
+	calls := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		calls++
+		id := fmt.Sprint("call-", calls)
+		script := rapid.SliceOfN(rapid.SampledFrom([]string{"ok", "503", "shed", "shed", "cut", "cut", "half"}), 1, 4).Draw(rt, "script")
+		idempotent := rapid.Bool().Draw(rt, "idempotent")
+		body := strings.Repeat(id+" ", rapid.IntRange(0, 6000).Draw(rt, "body"))
+		chunked := rapid.Bool().Draw(rt, "chunked")
+		send := func() (string, http.Header, string) {
+			r := request(t, a, "PUT", "b", "/put", "Wasabi-Request", id, "X-Script", strings.Join(script, ","))
+			if !idempotent {
+				r.Method, r.URL.Path = "POST", "/approve"
+				r.Header.Set("Idempotency-Key", id)
+			}
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(body)), int64(len(body))
+			if chunked {
+				r.ContentLength = -1
+			}
+			answer, err := m.client.Do(r)
+			if err != nil {
+				return "cut", nil, ""
+			}
+			got, err := io.ReadAll(answer.Body)
+			if err = errors.Join(err, answer.Body.Close()); err != nil {
+				return "cut", nil, ""
+			}
+			return answer.Header.Get("Wasabi-Outcome"), answer.Header, string(got)
+		}
+		outcome, attempts, runs := expect(script, idempotent, instances)
+		got, _, answer := send()
+		if got != outcome || outcome == "answered" && answer != body {
+			rt.Fatalf("script %v: outcome %q, want %q: %.300s", script, got, outcome, answer)
+		}
+		check := func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if s.attempts[id] != attempts || s.runs[id] != runs {
+				rt.Fatalf("script %v: %d attempts, %d runs, want %d and %d", script, s.attempts[id], s.runs[id], attempts, runs)
+			}
+		}
+		check()
+		if idempotent {
+			return
+		}
+		<-m.claims.settled
+		if outcome == "not-run" {
+			return
+		}
+		got, header, answer := send()
+		if outcome == "answered" {
+			if got != "answered" || header.Get("Wasabi-Replayed") != "true" || answer != body {
+				rt.Fatalf("resend: outcome %q, %v, %.100s", got, header, answer)
+			}
+		} else if got != "unknown" {
+			rt.Fatalf("resend: outcome %q, want unknown", got)
+		}
+		check()
+	})
+}
--- a/wasabinode/record.go
+++ b/wasabinode/record.go
@@ -34,7 +34,20 @@
 // refusedHere records a refusal of a call for the local upstream.
 func (n *Node) refusedHere(a *attempt, r *wasabistand.Refusal) {
 	n.record(wasabistand.EventCallRefused, a, r.Reason, "importance", a.importance.String())
-	n.metrics.served(a, r.Outcome.String(), r.Reason)
+	n.metrics.served(n.callLabel(a), a, r.Outcome.String(), r.Reason)
+}
+
+// callLabel returns the name of an attempt's call when it is declared: another
+// node must not choose the values of labels.
+func (n *Node) callLabel(a *attempt) string {
+	if v := n.snapshot(); v != nil {
+		for _, c := range v.contracts.Services[n.settings.service].Calls {
+			if c.Name == a.kind.Call {
+				return c.Name
+			}
+		}
+	}
+	return ""
 }
 
 // served records how a call ended at the local upstream.
@@ -42,7 +55,7 @@
 	switch {
 	case e.refusal == nil:
 		n.record(wasabistand.EventCallAnswered, a, "")
-		n.metrics.served(a, wasabistand.Answered.String(), "")
+		n.metrics.served(n.callLabel(a), a, wasabistand.Answered.String(), "")
 		return
 	case e.refusal.Outcome == wasabistand.NotRun:
 		n.record(wasabistand.EventCallRefused, a, e.refusal.Reason)
@@ -51,7 +64,7 @@
 	default:
 		n.record(wasabistand.EventCallUnknown, a, e.refusal.Reason)
 	}
-	n.metrics.served(a, e.refusal.Outcome.String(), e.refusal.Reason)
+	n.metrics.served(n.callLabel(a), a, e.refusal.Outcome.String(), e.refusal.Reason)
 }
 
 // limitChanged is called with the gate's mutex held.
--- a/wasabinode/route.go
+++ b/wasabinode/route.go
@@ -151,7 +151,7 @@
 // that are wrong in themselves, only add load.
 func elsewhere(r wasabistand.Reason) bool {
 	return slices.Contains([]wasabistand.Reason{
-		wasabistand.ReasonQueueFull, wasabistand.ReasonDisplaced, wasabistand.ReasonLevel,
+		wasabistand.ReasonQueueFull, wasabistand.ReasonDisplaced, wasabistand.ReasonLevel, wasabistand.ReasonDeadline,
 		wasabistand.ReasonLeaving, wasabistand.ReasonNotReady, wasabistand.ReasonConnect,
 		wasabistand.ReasonLinkLost, wasabistand.ReasonCut, wasabistand.ReasonShed, wasabistand.ReasonPreempted,
 	}, r)
--- a/wasabinode/settings.go
+++ b/wasabinode/settings.go
@@ -21,6 +21,7 @@
 	connections     int
 	drainTime       time.Duration
 	leaveTime       time.Duration
+	goAwayTime      time.Duration
 	claimTime       time.Duration
 	headerTimeout   time.Duration
 	bodyIdleTimeout time.Duration
@@ -51,6 +52,9 @@
 		// Routes change within a second; an upstream that leaves must get no
 		// new work after 3 s.
 		leaveTime: 2 * time.Second,
+		// Several times the way between regions, for the word to open no
+		// more streams to arrive, and for what was sent before it.
+		goAwayTime: 100 * time.Millisecond,
 		// A claim takes a few milliseconds within a region; one that takes
 		// longer than this is better refused than waited for.
 		claimTime:       250 * time.Millisecond,
@@ -96,6 +100,10 @@
 // that it leaves.
 func (s Settings) WithLeaveTime(d time.Duration) Settings { s.leaveTime = d; return s }
 
+// WithGoAwayTime returns a copy that keeps links open for d after it asked
+// other nodes to open no more streams on them.
+func (s Settings) WithGoAwayTime(d time.Duration) Settings { s.goAwayTime = d; return s }
+
 // WithClaimTime returns a copy that waits at most d for a claim.
 func (s Settings) WithClaimTime(d time.Duration) Settings { s.claimTime = d; return s }
 
