--- /dev/null
+++ b/wasabicontrol/cluster_test.go
@@ -0,0 +1,290 @@
+package wasabicontrol_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"path/filepath"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/wasabistand/wasabistand"
+	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
+	"github.com/wasabistand/wasabistand/gen/wasabistand/v1/wasabistandv1connect"
+	"github.com/wasabistand/wasabistand/wasabicontrol"
+	"github.com/wasabistand/wasabistand/wasabilink"
+	"github.com/wasabistand/wasabistand/wasabisession"
+)
+
+// waitBound ends a test that would hang. No verdict depends on it otherwise.
+const waitBound = 60 * time.Second
+
+// cluster is some control instances in one process, with real sockets and
+// disks.
+type cluster struct {
+	t         testing.TB
+	dir       string
+	ids       []string
+	links     map[string]string
+	apis      map[string]string
+	groups    []wasabicontrol.Group
+	joins     map[string]bool
+	instances map[string]*wasabicontrol.Instance
+	// sides of a partition: control instances reach those of their own side;
+	// nodes reach all.
+	sides  map[string]*atomic.Int32
+	change func(wasabicontrol.Settings) wasabicontrol.Settings
+}
+
+// newCluster starts a cluster whose first members also form the home group of
+// the region "here", none for 0.
+func newCluster(t testing.TB, size, home int, change func(wasabicontrol.Settings) wasabicontrol.Settings) *cluster {
+	t.Helper()
+	c := &cluster{
+		t: t, dir: t.TempDir(), joins: map[string]bool{}, links: map[string]string{}, apis: map[string]string{},
+		instances: map[string]*wasabicontrol.Instance{}, sides: map[string]*atomic.Int32{}, change: change,
+	}
+	root := wasabicontrol.Group{Name: wasabicontrol.RootGroup}
+	listeners := map[string][2]net.Listener{}
+	for i := range size {
+		id := fmt.Sprintf("control-%d", i+1)
+		c.ids = append(c.ids, id)
+		listeners[id] = [2]net.Listener{listen(t), listen(t)}
+		c.links[id], c.apis[id] = listeners[id][0].Addr().String(), listeners[id][1].Addr().String()
+		c.sides[id] = new(atomic.Int32)
+		root.Members = append(root.Members, wasabicontrol.Member{ID: id, Address: c.links[id]})
+	}
+	c.groups = []wasabicontrol.Group{root}
+	if home > 0 {
+		c.groups = append(c.groups, wasabicontrol.Group{Name: "home", Region: "here", Members: root.Members[:home]})
+	}
+	t.Cleanup(c.close)
+	for _, id := range c.ids {
+		c.start(id, listeners[id])
+	}
+	return c
+}
+
+func listen(t testing.TB) net.Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	return ln
+}
+
+var errIsolated = errors.New("isolated")
+
+// cut is a connection that goes silent while its ends are on two sides.
+type cut struct {
+	net.Conn
+	from, to *atomic.Int32
+}
+
+func (c *cut) Write(p []byte) (int, error) {
+	if c.from.Load() != c.to.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *cluster) start(id string, listeners [2]net.Listener) {
+	c.t.Helper()
+	log := zerolog.Nop()
+	groups := slices.Clone(c.groups)
+	groups[0].Join = c.joins[id]
+	s := wasabicontrol.NewSettings("test", id, filepath.Join(c.dir, id)).
+		WithAddresses(c.links[id], c.apis[id]).WithGroups(groups...).
+		WithLocation(wasabistand.Location{Region: "here", FailureDomain: id}).
+		WithLease(time.Second).
+		WithTokens(
+			wasabicontrol.Token{Name: "committee", Token: changeToken, Right: wasabicontrol.Change},
+			wasabicontrol.Token{Name: "board", Token: readToken, Right: wasabicontrol.Read},
+		)
+	if c.change != nil {
+		s = c.change(s)
+	}
+	i, err := wasabicontrol.New(s, wasabicontrol.Parts{
+		Log: &log, LinkListener: listeners[0], APIListener: listeners[1],
+		Links: func(o wasabilink.Options) wasabilink.Options { return o.WithDial(c.dial(id)) },
+	})
+	assert.NilError(c.t, err)
+	assert.NilError(c.t, i.Start())
+	c.instances[id] = i
+}
+
+// dial connects control instances of one side.
+func (c *cluster) dial(from string) wasabilink.DialFunc {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		to := c.sides[from]
+		for id, a := range c.links {
+			if a == address {
+				to = c.sides[id]
+			}
+		}
+		if c.sides[from].Load() != to.Load() {
+			return nil, errIsolated
+		}
+		var d net.Dialer
+		conn, err := d.DialContext(ctx, "tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		return &cut{Conn: conn, from: c.sides[from], to: to}, nil
+	}
+}
+
+// restart starts a stopped instance on its old folder and addresses.
+func (c *cluster) restart(id string) {
+	c.t.Helper()
+	var list [2]net.Listener
+	for k, a := range []string{c.links[id], c.apis[id]} {
+		ln, err := net.Listen("tcp", a)
+		assert.NilError(c.t, err)
+		list[k] = ln
+	}
+	c.start(id, list)
+}
+
+func (c *cluster) close() {
+	for id := range c.instances {
+		c.kill(id)
+	}
+}
+
+func (c *cluster) kill(id string) {
+	assert.Check(c.t, c.instances[id].Close())
+	delete(c.instances, id)
+}
+
+const (
+	changeToken = "a-token-that-may-change"
+	readToken   = "a-token-that-may-only-read"
+)
+
+func (c *cluster) operator(id, token string) wasabistandv1connect.OperatorServiceClient {
+	bearer := connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx context.Context, r connect.AnyRequest) (connect.AnyResponse, error) {
+			r.Header().Set("Authorization", "Bearer "+token)
+			return next(ctx, r)
+		}
+	})
+	return wasabistandv1connect.NewOperatorServiceClient(http.DefaultClient, "http://"+c.apis[id], connect.WithInterceptors(bearer))
+}
+
+func identity(name string) *wasabistandv1.CommandIdentity {
+	return &wasabistandv1.CommandIdentity{Id: name + "-0123456789abcdef", IssuedUnixMs: time.Now().UnixMilli()}
+}
+
+func document(patience string) string {
+	return "[[Callers]]\nName = \"office\"\nPatience = \"" + patience + "\"\n"
+}
+
+func (c *cluster) apply(id string, r *wasabistandv1.ApplyRequest) (*wasabistandv1.ApplyResponse, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), waitBound)
+	defer cancel()
+	answer, err := c.operator(id, changeToken).Apply(ctx, connect.NewRequest(r))
+	if err != nil {
+		return nil, err
+	}
+	return answer.Msg, nil
+}
+
+func (c *cluster) mustApply(id string, expected uint64, name, patience string) uint64 {
+	c.t.Helper()
+	r := &wasabistandv1.ApplyRequest{Command: identity(name), ExpectedRevision: expected, Toml: document(patience)}
+	// The first command may come before the first election.
+	for {
+		a, err := c.apply(id, r)
+		if err == nil {
+			return a.GetRevision()
+		}
+		assert.Equal(c.t, connect.CodeOf(err), connect.CodeUnavailable, "%v", err)
+	}
+}
+
+// node is a stand-in for a node: a session with its pool.
+type node struct {
+	*wasabisession.Session
+	pool *wasabilink.Pool
+	// downs gets the reason of each session that ended.
+	downs chan wasabistand.Reason
+}
+
+// Record implements wasabistand.Recorder.
+func (n *node) Record(e wasabistand.Event) {
+	if e.Kind == wasabistand.EventSessionDown {
+		select {
+		case n.downs <- e.Reason:
+		default:
+		}
+	}
+}
+
+func (c *cluster) node(id, service string, incarnation uint64, controls ...string) *node {
+	c.t.Helper()
+	var addresses []string
+	for _, k := range controls {
+		addresses = append(addresses, c.links[k])
+	}
+	pool := wasabilink.NewPool(wasabilink.NewOptions("test", id, incarnation), nil)
+	o := wasabisession.NewOptions(addresses...).WithBackoff(20*time.Millisecond, 50*time.Millisecond, 500*time.Millisecond)
+	n := &node{pool: pool, downs: make(chan wasabistand.Reason, 64)}
+	n.Session = wasabisession.New(o, pool, instance(id, service, incarnation), n)
+	c.t.Cleanup(n.close)
+	return n
+}
+
+func instance(id, service string, incarnation uint64) wasabistand.Instance {
+	return wasabistand.Instance{
+		ID: id, Incarnation: incarnation, Service: service, LinkAddress: "127.0.0.1:1", Slots: 10, Connections: 100,
+		State: wasabistand.Ready, Location: wasabistand.Location{Region: "here", FailureDomain: "a"},
+	}
+}
+
+func (n *node) close() {
+	_ = n.Close()
+	_ = n.pool.Close()
+}
+
+// await returns the first view that ok accepts.
+func (n *node) await(t testing.TB, what string, ok func(*wasabistand.View) bool) *wasabistand.View {
+	t.Helper()
+	bound := time.NewTimer(waitBound)
+	defer bound.Stop()
+	for {
+		changed := n.Changed()
+		if v := n.View(); v != nil && ok(v) {
+			return v
+		}
+		select {
+		case <-changed:
+		case <-bound.C:
+			t.Fatalf("no view: %s; latest %+v", what, n.View())
+		}
+	}
+}
+
+func atLeast(revision uint64) func(*wasabistand.View) bool {
+	return func(v *wasabistand.View) bool { return v.Revision >= revision }
+}
+
+// leader returns who leads root, as the instances that run tell.
+func (c *cluster) leader(t testing.TB) string {
+	t.Helper()
+	for {
+		for id := range c.instances {
+			s, err := c.operator(id, readToken).Status(t.Context(), connect.NewRequest(&wasabistandv1.StatusRequest{}))
+			if err == nil && c.instances[s.Msg.GetGroups()[0].GetLeader()] != nil {
+				return s.Msg.GetGroups()[0].GetLeader()
+			}
+		}
+	}
+}
