Remove an unused error class

Cause: the registry's errors have exact classes; the general one was unused. Change: it is gone. Result: build, vet, lint and tests of both packages pass.

--- a/wasabimember/options.go
+++ b/wasabimember/options.go
@@ -10,9 +10,6 @@
 	"github.com/zeebo/errs"
 )
 
-// Error is the class of this package's errors. More exact classes are below.
-var Error = errs.Class("member")
-
 // Classes of refused announcements and renewals.
 var (
 	// ErrDuplicate means that another process holds the instance's name.
