Charge resends by upstreams to the call tree's allowance

An upstream that resends a failed outgoing call on its own multiplied retries from hop to hop. Such a resend now takes a token of the tree's allowance and is refused as not run without one. Outgoing calls without a request identity take that of their enclosing call, so that the time line shows one tree. The test of a dead upstream expected the router to keep an instance that its own answer called leaving; it now tells the new announcement as control does, and still demands the refused connections before it.

--- a/wasabicall/call.go
+++ b/wasabicall/call.go
@@ -20,13 +20,18 @@
 	Deadline   time.Time
 	Allowance  wasabistand.Allowance
 
-	token string
-	mu    sync.Mutex
-	open  int
-	since time.Time
-	below time.Duration
+	token  string
+	mu     sync.Mutex
+	open   int
+	since  time.Time
+	below  time.Duration
+	failed map[uint64]bool
 }
 
+// maxFailed bounds the outgoing calls that are remembered as failed. With more
+// than that, each further outgoing call counts as a resend.
+const maxFailed = 256
+
 // Token returns the value of Wasabi-Call, empty before Add.
 func (c *Call) Token() string { return c.token }
 
@@ -50,6 +55,27 @@
 	}
 }
 
+// Failed records that an outgoing call with this signature got no whole
+// answer, or one that invites a resend.
+func (c *Call) Failed(signature uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.failed == nil {
+		c.failed = map[uint64]bool{}
+	}
+	if len(c.failed) < maxFailed {
+		c.failed[signature] = true
+	}
+}
+
+// Resends reports whether an outgoing call repeats one that failed. Upstreams
+// that resend on their own would otherwise multiply retries from hop to hop.
+func (c *Call) Resends(signature uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failed[signature] || len(c.failed) >= maxFailed
+}
+
 // Below returns the time in which at least one outgoing call was open. Calls
 // that overlap count once.
 func (c *Call) Below(now time.Time) time.Duration {
--- a/wasabinode/body.go
+++ b/wasabinode/body.go
@@ -102,17 +102,30 @@
 }
 
 // prefix reads and returns the first n bytes, fewer when the body is shorter.
+// They are kept, so the result must not be changed.
 func (b *callBody) prefix(n int) ([]byte, error) {
 	if b == nil {
 		return nil, nil
 	}
+	b.mu.Lock()
+	b.keep = max(b.keep, n)
+	b.mu.Unlock()
 	r, _ := b.open()
-	buffer := make([]byte, n)
-	n, err := io.ReadFull(r, buffer)
-	if err == io.EOF || err == io.ErrUnexpectedEOF {
-		err = nil
+	p := chunks.Get().(*[]byte)
+	defer chunks.Put(p)
+	for total := 0; total < n; {
+		count, err := r.Read((*p)[:min(n-total, chunkBytes)])
+		total += count
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return nil, err
+		}
 	}
-	return buffer[:n], err
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.kept, nil
 }
 
 // stop ends reading and waits until nobody reads. A connection with a body
--- a/wasabinode/entry.go
+++ b/wasabinode/entry.go
@@ -5,7 +5,9 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
+	"hash/maphash"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/wasabistand/wasabistand"
@@ -27,6 +29,7 @@
 	importance wasabistand.Importance
 	body       *callBody
 	started    time.Time
+	status     int // of the answer
 }
 
 // ServeHTTP serves a caller.
@@ -40,24 +43,50 @@
 			refusal = n.prepare(c, r)
 		}
 	}
-	if c.fields.Request == "" {
+	switch {
+	case c.fields.Request != "":
+	case c.parent != nil:
+		c.fields.Request = c.parent.RequestID
+	default:
 		c.fields.Request = rand.Text()
 	}
 	if refusal == nil {
-		if c.parent != nil {
-			c.parent.Begin(n.now())
-			defer func() { c.parent.End(n.now()) }()
-			n.needs.Made(c.parent.Kind, c.kind)
-		}
 		c.body = newCallBody(w, r, n.settings, c.contract.MaxBodyBytes, c.deadline.Sub(n.now()))
 		defer c.body.stop()
-		refusal = n.call(w, r, c)
+		if c.parent == nil {
+			refusal = n.call(w, r, c)
+		} else {
+			refusal = n.outgoing(w, r, c)
+		}
 	}
 	if refusal != nil {
 		n.refuse(w, c, refusal)
 	}
 }
 
+var signatureSeed = maphash.MakeSeed()
+
+// outgoing is call for a call that the upstream makes while it runs another.
+func (n *Node) outgoing(w http.ResponseWriter, r *http.Request, c *incoming) *wasabistand.Refusal {
+	signature := maphash.String(signatureSeed, strings.Join([]string{c.kind.Service, r.Method, r.URL.RequestURI(), c.fields.Key}, "\x00"))
+	if c.parent.Resends(signature) && !c.parent.Allowance.Take() {
+		return wasabistand.NewRefusal(wasabistand.ReasonCallerShare, "the retries of this call tree are used up")
+	}
+	c.parent.Begin(n.now())
+	n.needs.Made(c.parent.Kind, c.kind)
+	// A cut answer ends this function by a panic.
+	failed := true
+	defer func() {
+		c.parent.End(n.now())
+		if failed {
+			c.parent.Failed(signature)
+		}
+	}()
+	refusal := n.call(w, r, c)
+	failed = refusal != nil || c.status >= http.StatusInternalServerError || c.status == http.StatusTooManyRequests
+	return refusal
+}
+
 // refuse answers a call without a whole answer.
 func (n *Node) refuse(w http.ResponseWriter, c *incoming, refusal *wasabistand.Refusal) {
 	kind := wasabistand.EventCallRefused
@@ -179,6 +208,7 @@
 		n.recordEntry(wasabistand.EventCallAnswered, c, wasabistand.ReasonAlreadyRun)
 		n.metrics.entry(c, "replayed", "", n.now().Sub(c.started))
 		w.Header().Set(wasabiheader.Request, c.fields.Request)
+		c.status = answer.Status
 		replay(w, r, answer)
 		return nil
 	}
--- a/wasabinode/leave_test.go
+++ b/wasabinode/leave_test.go
@@ -90,21 +90,29 @@
 	assert.Equal(t, m.do(request(t, a, "GET", "a", "/read/x")).status, 200)
 	before := a.Announcement()
 	assert.NilError(t, up.Close())
+	connects := 0
 	eventually(t, func() bool {
 		// A connection that was kept may be found closed only after the
 		// request was written: then the outcome is unknown.
 		w := m.do(request(t, a, "GET", "a", "/read/x"))
 		assert.Assert(t, w.header.Get("Wasabi-Outcome") != "answered", w.body)
+		if strings.Contains(w.body, `"reason":"connect"`) {
+			assert.Equal(t, w.header.Get("Wasabi-Outcome"), "not-run")
+			connects++
+		}
 		return a.Announcement().State == wasabistand.Leaving
 	})
-	m.refused(request(t, a, "GET", "a", "/read/x"), 503, "not-run", "connect")
+	assert.Assert(t, connects >= 3, "announced after %d refused connections", connects)
 	up = &http.Server{Handler: http.HandlerFunc(noCall)}
 	ln = listen(t, ln.Addr().String())
 	go func() { _ = up.Serve(ln) }()
 	defer up.Close()
 	eventually(t, func() bool { return a.Announcement().State == wasabistand.Cold })
 	assert.Assert(t, a.Announcement().Sequence > before.Sequence)
-	assert.Equal(t, m.do(request(t, a, "GET", "a", "/read/x")).status, 200)
+	// Control tells of the instance's new announcement, as it did of the first.
+	m.lists = map[string][]wasabistand.Instance{"a": {a.Announcement()}}
+	m.ready()
+	eventually(t, func() bool { return m.do(request(t, a, "GET", "a", "/read/x")).status == http.StatusOK })
 }
 
 // Guards against a planned stop under load that cuts a call, reports one as
--- a/wasabinode/outcome_test.go
+++ b/wasabinode/outcome_test.go
@@ -108,17 +108,18 @@
 	}
 }
 
-// Guards against retries that multiply from hop to hop: whatever the depth, a
-// request causes its first attempts and at most its allowance of retries.
+// Guards against retries that multiply from hop to hop: although each upstream
+// resends on its own, a request causes its first attempts and at most its
+// allowance of retries.
 func TestRetriesOfOneTreeAreBounded(t *testing.T) {
 	m := newMesh(t)
 	leaf := &counter{h: cutting}
 	m.add("c1", "c", leaf.ServeHTTP)
 	m.add("c2", "c", leaf.ServeHTTP)
 	var b1, b2, a *wasabinode.Node
-	b1 = m.add("b1", "b", func(w http.ResponseWriter, r *http.Request) { below(m, &b1, "c", 0)(w, r) })
-	b2 = m.add("b2", "b", func(w http.ResponseWriter, r *http.Request) { below(m, &b2, "c", 0)(w, r) })
-	a = m.add("a1", "a", func(w http.ResponseWriter, r *http.Request) { below(m, &a, "b", 0)(w, r) })
+	b1 = m.add("b1", "b", func(w http.ResponseWriter, r *http.Request) { below(m, &b1, "c", 3)(w, r) })
+	b2 = m.add("b2", "b", func(w http.ResponseWriter, r *http.Request) { below(m, &b2, "c", 3)(w, r) })
+	a = m.add("a1", "a", func(w http.ResponseWriter, r *http.Request) { below(m, &a, "b", 3)(w, r) })
 	m.ready()
 	w := m.do(request(t, a, "GET", "a", "/read/x"))
 	assert.Equal(t, w.status, 502)
--- a/wasabinode/route.go
+++ b/wasabinode/route.go
@@ -200,7 +200,7 @@
 	if s.keep {
 		s.recorded.status, s.recorded.headers = status, headers
 	}
-	s.started = true
+	s.started, s.call.status = true, status
 	s.allowed = bodyAllowed(s.request.Method, status)
 	s.flush = s.allowed && length < 0
 	// A caller that reads slowly must not hold the upstream's slot longer
