Test resends of answers too large to keep

A resend of a call whose answer was not kept must learn that the call ran, and a cut answer must settle its claim as unknown.

--- a/wasabinode/outcome_test.go
+++ b/wasabinode/outcome_test.go
@@ -300,3 +300,30 @@
 	}
 	wait.Wait()
 }
+
+// Guards against a resend that gets an empty answer for one that was too large
+// to keep, and against a claim settled by an answer that was cut.
+func TestResendOfLargeAnswerLearnsThatItRan(t *testing.T) {
+	m := newMesh(t)
+	up := &counter{h: func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, strings.Repeat("x", 100_000))
+		if r.Header.Get("Idempotency-Key") == "cut" {
+			panic(http.ErrAbortHandler)
+		}
+	}}
+	m.add("b1", "b", up.ServeHTTP)
+	a := m.add("a1", "a", noCall)
+	m.ready()
+	assert.Equal(t, len(m.do(request(t, a, "POST", "b", "/approve", "Idempotency-Key", "k")).body), 100_000)
+	assert.Equal(t, (<-m.claims.settled).Outcome, wasabistand.Answered)
+	w := m.refused(request(t, a, "POST", "b", "/approve", "Idempotency-Key", "k"), 409, "answered", "already-run")
+	assert.Equal(t, w.header.Get("Wasabi-Replayed"), "true")
+	answer, err := m.client.Do(request(t, a, "POST", "b", "/approve", "Idempotency-Key", "cut"))
+	if err == nil {
+		_, err = io.ReadAll(answer.Body)
+		assert.NilError(t, answer.Body.Close())
+	}
+	assert.Assert(t, err != nil)
+	assert.Equal(t, (<-m.claims.settled).Outcome, wasabistand.Unknown)
+	assert.Equal(t, up.n.Load(), int64(2))
+}
