Add the load generator and the direct baseline

Cause: measurements need open-loop load whose latency counts from the planned time, and a call graph without control to compare with. Change: wasabiload plans Poisson arrivals from a seed, sends on time, checks answers and finds the recovery time; wasabilocal starts stand-in upstreams on loopback with injected latency and counts the bytes that cross regions. Result: the tests of both packages pass; no system was measured yet.

--- /dev/null
+++ b/wasabiload/report.go
@@ -0,0 +1,107 @@
+package wasabiload
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/wasabistand/wasabistand"
+)
+
+// Count is how many requests arrived and how many of them were answered well.
+type Count struct {
+	Offered, Good int
+}
+
+// Share returns the part that was answered well, 1 for no requests.
+func (c Count) Share() float64 {
+	if c.Offered == 0 {
+		return 1
+	}
+	return float64(c.Good) / float64(c.Offered)
+}
+
+// Add returns the sum.
+func (c Count) Add(d Count) Count { return Count{c.Offered + d.Offered, c.Good + d.Good} }
+
+// Report sums outcomes.
+type Report struct {
+	// ByPhase counts by phase and importance.
+	ByPhase []map[wasabistand.Importance]Count
+	// Latency is of the requests answered well, in microseconds from their
+	// planned time.
+	Latency *hdrhistogram.Histogram
+	// Late is how late the generator sent, in microseconds.
+	Late *hdrhistogram.Histogram
+
+	Offered, Good, Sends, Unsent int
+	Mixed, Partial               int
+}
+
+// maxLatency is the largest latency that is told apart.
+const maxLatency = time.Minute
+
+// Summarize sums outcomes of a plan with this many phases.
+func Summarize(classes []Class, phases int, list []Outcome) Report {
+	r := Report{
+		Latency: hdrhistogram.New(1, maxLatency.Microseconds(), 3),
+		Late:    hdrhistogram.New(1, maxLatency.Microseconds(), 3),
+	}
+	for range phases {
+		r.ByPhase = append(r.ByPhase, map[wasabistand.Importance]Count{})
+	}
+	for _, o := range list {
+		if o.Number == 0 {
+			continue // Not reached before the run was ended.
+		}
+		n := Count{Offered: 1}
+		if o.Good {
+			n.Good = 1
+			_ = r.Latency.RecordValue(min(max(o.Latency, time.Microsecond), maxLatency).Microseconds())
+		}
+		_ = r.Late.RecordValue(min(max(o.Late, time.Microsecond), maxLatency).Microseconds())
+		i := classes[o.Class].Importance
+		r.ByPhase[o.Phase][i] = r.ByPhase[o.Phase][i].Add(n)
+		r.Offered, r.Good, r.Sends = r.Offered+1, r.Good+n.Good, r.Sends+o.Sends
+		r.Mixed, r.Partial = r.Mixed+o.Mixed, r.Partial+o.Partial
+		if o.Unsent {
+			r.Unsent++
+		}
+	}
+	return r
+}
+
+// Phase returns the count of all importances in one phase.
+func (r Report) Phase(p int) Count {
+	var c Count
+	for _, n := range r.ByPhase[p] {
+		c = c.Add(n)
+	}
+	return c
+}
+
+// recoveryWindow is the resolution of recovery times; it must hold enough
+// requests that a single one does not decide.
+const recoveryWindow = 500 * time.Millisecond
+
+// Recovery returns how long after end the share of requests answered well
+// came back to within 5% of before and stayed there for the rest of the run.
+// The share is used in place of the rate, so that the random arrivals cancel
+// out. The result is false when it did not come back.
+func Recovery(list []Outcome, end, last time.Duration, before float64) (time.Duration, bool) {
+	windows := int((last - end) / recoveryWindow)
+	counts := make([]Count, windows)
+	for _, o := range list {
+		if w := int((o.At - end) / recoveryWindow); o.Number > 0 && o.At >= end && w < windows {
+			counts[w].Offered++
+			if o.Good {
+				counts[w].Good++
+			}
+		}
+	}
+	recovered := windows
+	for w := windows - 1; w >= 0 && counts[w].Share() >= 0.95*before; w-- {
+		recovered = w
+	}
+	return time.Duration(recovered) * recoveryWindow, recovered < windows
+}
--- /dev/null
+++ b/wasabilocal/control.go
@@ -0,0 +1,178 @@
+package wasabilocal
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/wasabistand/wasabistand"
+	"github.com/wasabistand/wasabistand/wasabiconfig"
+)
+
+// Control is a stand-in for control instances within the process: a directory
+// and a claim table that never fail. It is safe for concurrent use.
+type Control struct {
+	mu        sync.Mutex
+	revision  uint64
+	contracts *wasabistand.Contracts
+	instances map[string]wasabistand.Instance
+	drained   map[string]bool
+	view      *wasabistand.View
+	changed   chan struct{}
+	claims    map[claimKey]*claimEntry
+	// roundTrip is what a claim takes.
+	roundTrip time.Duration
+}
+
+type claimKey struct{ caller, service, key string }
+
+type claimEntry struct {
+	owner      string
+	claim      wasabistand.Claim
+	settled    bool
+	settlement wasabistand.Settlement
+}
+
+var (
+	_ wasabistand.Directory = (*Control)(nil)
+	_ wasabistand.Claims    = ownedClaims{}
+)
+
+// NewControl returns a control stand-in whose claims take a round trip.
+func NewControl(roundTrip time.Duration) *Control {
+	return &Control{
+		instances: map[string]wasabistand.Instance{}, drained: map[string]bool{},
+		changed: make(chan struct{}), claims: map[claimKey]*claimEntry{}, roundTrip: roundTrip,
+	}
+}
+
+// Apply puts a document into force.
+func (c *Control) Apply(_ context.Context, document string) (uint64, error) {
+	contracts, err := wasabiconfig.Parse([]byte(document))
+	if err != nil {
+		return 0, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.revision++
+	c.contracts = contracts
+	c.publish()
+	return c.revision, nil
+}
+
+// Drain takes an instance out of the routes.
+func (c *Control) Drain(_ context.Context, instance string) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, ok := c.instances[instance]; !ok {
+		return fmt.Errorf("instance %q is not announced", instance)
+	}
+	c.drained[instance] = true
+	c.publish()
+	return nil
+}
+
+// Announce takes what a node says of itself.
+func (c *Control) Announce(i wasabistand.Instance) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	old := c.instances[i.ID]
+	c.instances[i.ID] = i
+	// The revision and the sequence alone change no route.
+	old.RevisionInForce, old.Sequence = i.RevisionInForce, i.Sequence
+	if old != i {
+		c.publish()
+	}
+}
+
+// publish replaces the view; the caller holds mu.
+func (c *Control) publish() {
+	v := &wasabistand.View{Revision: c.revision, Contracts: c.contracts, Instances: map[string][]wasabistand.Instance{}}
+	for _, id := range slices.Sorted(maps.Keys(c.instances)) {
+		i := c.instances[id]
+		i.Drained = c.drained[id]
+		i.RevisionInForce, i.Sequence = 0, 0
+		if i.LinkAddress != "" {
+			v.Instances[i.Service] = append(v.Instances[i.Service], i)
+		}
+	}
+	c.view = v
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// View implements wasabistand.Directory.
+func (c *Control) View() *wasabistand.View {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view
+}
+
+// Changed implements wasabistand.Directory.
+func (c *Control) Changed() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.changed
+}
+
+// Interest implements wasabistand.Directory: all nodes get all services.
+func (c *Control) Interest(string) {}
+
+// Claims returns the claims of one node. Their call numbers are unique within
+// it only.
+func (c *Control) Claims(owner string) wasabistand.Claims { return ownedClaims{c, owner} }
+
+type ownedClaims struct {
+	*Control
+	owner string
+}
+
+// Take implements wasabistand.Claims.
+func (c ownedClaims) Take(ctx context.Context, k wasabistand.Claim) (wasabistand.ClaimState, error) {
+	t := time.NewTimer(c.roundTrip)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+		return wasabistand.ClaimState{}, wasabistand.NewRefusal(wasabistand.ReasonClaim, ctx.Err().Error())
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	id := claimKey{k.Caller, k.Service, k.Key}
+	e := c.claims[id]
+	switch {
+	case e == nil:
+		c.claims[id] = &claimEntry{owner: c.owner, claim: k}
+		return wasabistand.ClaimState{Status: wasabistand.ClaimGranted}, nil
+	case e.claim.Fingerprint != k.Fingerprint:
+		return wasabistand.ClaimState{Status: wasabistand.ClaimMismatch}, nil
+	case !e.settled:
+		return wasabistand.ClaimState{Status: wasabistand.ClaimHeld}, nil
+	case e.settlement.Outcome == wasabistand.Answered:
+		return wasabistand.ClaimState{Status: wasabistand.ClaimAnswered, Answer: e.settlement.Answer}, nil
+	}
+	return wasabistand.ClaimState{Status: wasabistand.ClaimUnknown}, nil
+}
+
+// Settle implements wasabistand.Claims.
+func (c ownedClaims) Settle(_ context.Context, k wasabistand.Claim, s wasabistand.Settlement) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	id := claimKey{k.Caller, k.Service, k.Key}
+	e := c.claims[id]
+	if e == nil || e.owner != c.owner || e.claim.Call != k.Call || e.claim.Fingerprint != k.Fingerprint || e.settled {
+		return nil
+	}
+	if s.Outcome == wasabistand.NotRun {
+		delete(c.claims, id)
+		return nil
+	}
+	e.settled, e.settlement = true, s
+	return nil
+}
+
+// String names the implementation.
+func (c *Control) String() string { return "control stand-in" }
--- /dev/null
+++ b/wasabilocal/topology.go
@@ -0,0 +1,205 @@
+package wasabilocal
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/wasabistand/wasabistand"
+	"github.com/wasabistand/wasabistand/wasabiupstream"
+)
+
+// Service describes one service of a topology.
+type Service struct {
+	Name        string
+	Slots       int
+	ServiceTime time.Duration
+	AnswerBytes int
+	Below       []wasabiupstream.Below
+}
+
+// Topology describes what runs.
+type Topology struct {
+	Regions []string
+	// DomainsPerRegion and WorkersPerDomain give the workers of each service.
+	DomainsPerRegion, WorkersPerDomain int
+	Services                           []Service
+	Latencies                          Latencies
+	// Configuration is the document of contracts, for nodes.
+	Configuration string
+	// HopRetries and HopTimeout are how upstreams without nodes call each
+	// other.
+	HopRetries int
+	HopTimeout time.Duration
+	// RegionBlind lets upstreams without nodes choose among all regions.
+	RegionBlind bool
+}
+
+// Locations returns the place of each worker of a service.
+func (t Topology) Locations() []wasabistand.Location {
+	var list []wasabistand.Location
+	for range t.WorkersPerDomain {
+		for d := range t.DomainsPerRegion {
+			for _, r := range t.Regions {
+				list = append(list, wasabistand.Location{Region: r, FailureDomain: fmt.Sprintf("%s-%d", r, d+1)})
+			}
+		}
+	}
+	return list
+}
+
+// Capacity returns how many calls a second a service can answer.
+func (t Topology) Capacity(service string) float64 {
+	i := slices.IndexFunc(t.Services, func(s Service) bool { return s.Name == service })
+	s := t.Services[i]
+	return float64(len(t.Locations())*s.Slots) / s.ServiceTime.Seconds()
+}
+
+// Worker is one upstream.
+type Worker struct {
+	Name     string
+	Service  string
+	Location wasabistand.Location
+	Upstream *wasabiupstream.Upstream
+	// entry is the base URL of the worker's own node, empty without one.
+	entry string
+}
+
+// System is a running topology.
+type System struct {
+	Network *Network
+	Workers []*Worker
+	// Ledgers account the work of each service.
+	Ledgers map[string]*wasabiupstream.Ledger
+
+	topology   Topology
+	transports []*http.Transport
+	random     func(n int) int
+	closers    []func() error
+}
+
+func newSystem(t Topology, seed uint64) *System {
+	var mu sync.Mutex
+	random := rand.New(rand.NewPCG(seed, 1))
+	return &System{
+		topology: t,
+		Network:  NewNetwork(t.Latencies),
+		Ledgers:  map[string]*wasabiupstream.Ledger{},
+		random: func(n int) int {
+			mu.Lock()
+			defer mu.Unlock()
+			return random.IntN(n)
+		},
+	}
+}
+
+func (s *System) transport(dial func(*http.Transport)) *http.Transport {
+	t := &http.Transport{MaxIdleConnsPerHost: 512, IdleConnTimeout: 10 * time.Second, DisableCompression: true}
+	dial(t)
+	s.transports = append(s.transports, t)
+	return t
+}
+
+// Client returns an HTTP client at the distance of clients.
+func (s *System) Client() *http.Client {
+	return &http.Client{Transport: s.transport(func(t *http.Transport) { t.DialContext = s.Network.DialClient })}
+}
+
+// Of returns the workers of a service.
+func (s *System) Of(service string) []*Worker {
+	var list []*Worker
+	for _, w := range s.Workers {
+		if w.Service == service {
+			list = append(list, w)
+		}
+	}
+	return list
+}
+
+// Slow makes a service take factor times its service time.
+func (s *System) Slow(service string, factor float64) {
+	for _, w := range s.Of(service) {
+		w.Upstream.SetSlowdown(factor)
+	}
+}
+
+// startUpstream starts one worker of a service. below prepares its outgoing
+// calls.
+func (s *System) startUpstream(c Service, index int, at wasabistand.Location, below func(*Worker, wasabiupstream.Settings) wasabiupstream.Settings) (*Worker, error) {
+	if s.Ledgers[c.Name] == nil {
+		s.Ledgers[c.Name] = wasabiupstream.NewLedger()
+	}
+	w := &Worker{Name: fmt.Sprintf("%s-%d", c.Name, index+1), Service: c.Name, Location: at}
+	settings := wasabiupstream.NewSettings(c.Name).WithSlots(c.Slots).WithServiceTime(c.ServiceTime).
+		WithAnswerBytes(c.AnswerBytes).WithLedger(s.Ledgers[c.Name])
+	w.Upstream = wasabiupstream.New(below(w, settings))
+	if err := w.Upstream.Start(); err != nil {
+		return nil, err
+	}
+	s.closers = append(s.closers, w.Upstream.Close)
+	s.Workers = append(s.Workers, w)
+	return w, nil
+}
+
+// Entry returns the base URL for one send of a client to a service: with
+// nodes any of them, without any worker of the service.
+func (s *System) Entry(service string) string {
+	list := s.Of(service)
+	w := list[s.random(len(list))]
+	if w.entry != "" {
+		return w.entry
+	}
+	return w.Upstream.URL()
+}
+
+// Close ends all and waits.
+func (s *System) Close() error {
+	var err error
+	for _, c := range slices.Backward(s.closers) {
+		err = errors.Join(err, c())
+	}
+	for _, t := range s.transports {
+		t.CloseIdleConnections()
+	}
+	return err
+}
+
+// NewDirect starts upstreams that call each other with no control at all.
+func NewDirect(t Topology, seed uint64) (*System, error) {
+	s := newSystem(t, seed)
+	for _, c := range t.Services {
+		for i, at := range t.Locations() {
+			w, err := s.startUpstream(c, i, at, s.callDirectly(c))
+			if err != nil {
+				return nil, errors.Join(err, s.Close())
+			}
+			s.Network.Place(w.Upstream.URL()[len("http://"):], at)
+		}
+	}
+	return s, nil
+}
+
+func (s *System) callDirectly(c Service) func(*Worker, wasabiupstream.Settings) wasabiupstream.Settings {
+	return func(w *Worker, settings wasabiupstream.Settings) wasabiupstream.Settings {
+		if len(c.Below) == 0 {
+			return settings
+		}
+		client := &http.Client{
+			Timeout:   s.topology.HopTimeout,
+			Transport: s.transport(func(t *http.Transport) { t.DialContext = s.Network.DialFrom(w.Location) }),
+		}
+		// All calls of a stand-in go to the one service below it.
+		entry := func() string {
+			list := s.Of(c.Below[0].Service)
+			if !s.topology.RegionBlind {
+				list = slices.DeleteFunc(list, func(b *Worker) bool { return b.Location.Region != w.Location.Region })
+			}
+			return list[s.random(len(list))].Upstream.URL()
+		}
+		return settings.WithBelow(client, entry, s.topology.HopRetries, c.Below...)
+	}
+}
