Add the demonstration

Cause: users need to see an overload that outlasts its trigger, and what the product changes about it, without any set-up. Change: wasabistand demo runs one scenario on a chain of four services, first with direct calls and then with nodes, checks the invariants on counts only and prints a table. The stand-in upstream can finish calls whose caller has gone and bound its connections.

--- /dev/null
+++ b/wasabidemo/demo_test.go
@@ -0,0 +1,79 @@
+package wasabidemo_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wasabistand/wasabistand"
+	"github.com/wasabistand/wasabistand/wasabidemo"
+	"github.com/wasabistand/wasabistand/wasabiload"
+	"github.com/wasabistand/wasabistand/wasabilocal"
+)
+
+// Guards against a demonstration that passes although an invariant broke.
+func TestBrokenNamesEachInvariant(t *testing.T) {
+	assert.Equal(t, len(wasabidemo.Measured{MostRetries: wasabidemo.Allowance}.Broken()), 0)
+	for _, m := range []wasabidemo.Measured{
+		{Doubled: 1},
+		{Report: wasabiload.Report{Mixed: 1}},
+		{Report: wasabiload.Report{Partial: 1}},
+		{RefusedRan: 1},
+		{MostRetries: wasabidemo.Allowance + 1},
+		{Disorder: 1},
+	} {
+		assert.Equal(t, len(m.Broken()), 1, "%+v", m)
+	}
+}
+
+// scripted answers each call with prepared decisions.
+type scripted struct {
+	wasabistand.Admission
+	next []wasabistand.Decision
+}
+
+func (s *scripted) Offer(time.Time, wasabistand.Ticket) []wasabistand.Decision { return s.next }
+
+// Guards against a check of the order of importance that sees no violation, or
+// one where the level had time to fall.
+func TestWatchOrder(t *testing.T) {
+	start := time.Unix(0, 0)
+	for _, c := range []struct {
+		after  time.Duration
+		broken int
+	}{{599 * time.Millisecond, 1}, {600 * time.Millisecond, 0}} {
+		w, s := wasabilocal.NewWatch(), &scripted{}
+		a := w.Admission("a", s)
+		s.next = []wasabistand.Decision{{ID: 1, Verdict: wasabistand.Refuse, Reason: wasabistand.ReasonQueueFull}}
+		a.Offer(start, wasabistand.Ticket{ID: 1, Importance: wasabistand.Critical})
+		s.next = []wasabistand.Decision{{ID: 2, Verdict: wasabistand.Admit}}
+		a.Offer(start.Add(c.after), wasabistand.Ticket{ID: 2, Importance: wasabistand.Low})
+		n, _ := w.Violations()
+		assert.Equal(t, n, c.broken, "Low admitted after %s", c.after)
+	}
+}
+
+// Guards against ledgers, clients and nodes that disagree on requests: in a
+// short run the invariants hold and work was accounted. How much was answered
+// depends on the machine and is not judged.
+func TestScenarioHoldsInvariants(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs for two seconds")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	topology := wasabidemo.Chain()
+	s := wasabidemo.Scenario{
+		Load: 0.1, Surge: 3, Slowdown: 4, Seed: 1,
+		WarmupTime: 200 * time.Millisecond, BeforeTime: 300 * time.Millisecond, During: 500 * time.Millisecond, Tail: 500 * time.Millisecond,
+	}
+	nodes, err := wasabilocal.NewNodes(ctx, topology, s.Seed)
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, nodes.Close()) }()
+	m := s.Run(ctx, nodes.System, topology, func(format string, _ ...any) { _, _ = io.WriteString(io.Discard, format) }, nil)
+	assert.DeepEqual(t, m.Broken(), []string(nil))
+	assert.Assert(t, m.Report.Good > 0 && m.Work > 0)
+}
--- a/wasabilocal/topology.go
+++ b/wasabilocal/topology.go
@@ -17,6 +17,7 @@
 type Service struct {
 	Name        string
 	Slots       int
+	Connections int
 	ServiceTime time.Duration
 	AnswerBytes int
 	Below       []wasabiupstream.Below
@@ -37,6 +38,8 @@
 	HopTimeout time.Duration
 	// RegionBlind lets upstreams without nodes choose among all regions.
 	RegionBlind bool
+	// Detached lets upstreams without nodes finish calls whose caller has gone.
+	Detached bool
 }
 
 // Locations returns the place of each worker of a service.
@@ -134,7 +137,7 @@
 		s.Ledgers[c.Name] = wasabiupstream.NewLedger()
 	}
 	w := &Worker{Name: fmt.Sprintf("%s-%d", c.Name, index+1), Service: c.Name, Location: at}
-	settings := wasabiupstream.NewSettings(c.Name).WithSlots(c.Slots).WithServiceTime(c.ServiceTime).
+	settings := wasabiupstream.NewSettings(c.Name).WithSlots(c.Slots).WithConnections(c.Connections).WithServiceTime(c.ServiceTime).
 		WithAnswerBytes(c.AnswerBytes).WithLedger(s.Ledgers[c.Name])
 	w.Upstream = wasabiupstream.New(below(w, settings))
 	if err := w.Upstream.Start(); err != nil {
@@ -185,6 +188,7 @@
 
 func (s *System) callDirectly(c Service) func(*Worker, wasabiupstream.Settings) wasabiupstream.Settings {
 	return func(w *Worker, settings wasabiupstream.Settings) wasabiupstream.Settings {
+		settings = settings.WithDetached(s.topology.Detached)
 		if len(c.Below) == 0 {
 			return settings
 		}
--- a/wasabiupstream/settings.go
+++ b/wasabiupstream/settings.go
@@ -14,6 +14,7 @@
 type Settings struct {
 	service     string
 	slots       int
+	connections int
 	queue       int
 	serviceTime time.Duration
 	coldStart   time.Duration
@@ -23,6 +24,7 @@
 	client      *http.Client
 	entry       func() string
 	hopRetries  int
+	detached    bool
 	ledger      *Ledger
 	health      func(actual int) (status, slots int)
 }
@@ -58,6 +60,13 @@
 	return s
 }
 
+// WithConnections returns a copy that holds at most n connections; further ones
+// wait until one closes. 0 is for no bound.
+func (s Settings) WithConnections(n int) Settings {
+	s.connections = n
+	return s
+}
+
 // WithQueue returns a copy that sheds calls when n wait.
 func (s Settings) WithQueue(n int) Settings {
 	s.queue = n
@@ -91,6 +100,14 @@
 	return s
 }
 
+// WithDetached returns a copy that finishes each call although its caller has
+// gone, as servers do that do not watch the connection, and that ignores
+// deadlines.
+func (s Settings) WithDetached(on bool) Settings {
+	s.detached = on
+	return s
+}
+
 // WithLedger returns a copy that accounts its work in l.
 func (s Settings) WithLedger(l *Ledger) Settings {
 	s.ledger = l
--- a/wasabiupstream/upstream.go
+++ b/wasabiupstream/upstream.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"strconv"
@@ -11,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/net/netutil"
 )
 
 // Header names that the stand-in reads and copies.
@@ -54,7 +57,10 @@
 		return err
 	}
 	u.address = ln.Addr().String()
-	u.server = &http.Server{Handler: u, ReadHeaderTimeout: 10 * time.Second}
+	if n := u.settings.connections; n > 0 {
+		ln = netutil.LimitListener(ln, n)
+	}
+	u.server = &http.Server{Handler: u, ReadHeaderTimeout: 10 * time.Second, ErrorLog: log.New(io.Discard, "", 0)}
 	u.wait.Go(func() { _ = u.server.Serve(ln) })
 	return nil
 }
@@ -93,7 +99,9 @@
 		return
 	}
 	ctx := r.Context()
-	if ms, err := strconv.ParseInt(r.Header.Get(headerTimeout), 10, 64); err == nil && ms > 0 {
+	if u.settings.detached {
+		ctx = context.WithoutCancel(ctx)
+	} else if ms, err := strconv.ParseInt(r.Header.Get(headerTimeout), 10, 64); err == nil && ms > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(ms)*time.Millisecond)
 		defer cancel()
