Add the measuring command

Change: wasabistand bench runs goodput, waste, recovery, overhead, regions, claims and members, and prints tables, JSON or CSV; sizes get a straight line by least squares.

--- a/cmd/wasabistand/main.go
+++ b/cmd/wasabistand/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/wasabistand/wasabistand/wasabibench"
 	"github.com/wasabistand/wasabistand/wasabicommand"
 	"github.com/wasabistand/wasabistand/wasabidemo"
 )
@@ -26,7 +27,7 @@
 		ShortHelp:   "overload control for service call graphs",
 		LongHelp:    wasabicommand.ExitCodes,
 		FlagSet:     flag.NewFlagSet("wasabistand", flag.ContinueOnError),
-		Subcommands: append(wasabicommand.New(os.Stdout), wasabidemo.New(os.Stdout)),
+		Subcommands: append(wasabicommand.New(os.Stdout), wasabidemo.New(os.Stdout), wasabibench.New(os.Stdout, os.Stderr)),
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) > 0 {
 				return wasabicommand.UnknownCommand(args[0])
--- a/wasabilocal/topology.go
+++ b/wasabilocal/topology.go
@@ -72,6 +72,15 @@
 	entry string
 }
 
+// Entry returns the base URL of the worker's node, or of the worker itself when
+// it has none.
+func (w *Worker) Entry() string {
+	if w.entry != "" {
+		return w.entry
+	}
+	return w.Upstream.URL()
+}
+
 // System is a running topology.
 type System struct {
 	Network *Network
@@ -152,11 +161,7 @@
 // nodes any of them, without any worker of the service.
 func (s *System) Entry(service string) string {
 	list := s.Of(service)
-	w := list[s.random(len(list))]
-	if w.entry != "" {
-		return w.entry
-	}
-	return w.Upstream.URL()
+	return list[s.random(len(list))].Entry()
 }
 
 // Close ends all and waits.
