End a cut of the limit early that does not help

Cause: at an upstream with few slots whose calls take longer for a reason that no limit cures, the limit fell to 1 and the window that judges the cut took 16 calls, 2.6 s at 160 ms each. Change: four calls whose latency is clearly the same as before, by two standard errors, end the cut.

--- a/wasabilimit/adaptive.go
+++ b/wasabilimit/adaptive.go
@@ -19,6 +19,11 @@
 	failedDivisor = 10
 )
 
+// vainDivisor: a quarter of a window is enough to end a cut that clearly did
+// not help. A whole one takes seconds at an upstream that is slow and held to
+// a low limit.
+const vainDivisor = 4
+
 // learningWindows is how many windows set the base outright. Of the first
 // calls the shortest finish first, so the first windows show too little.
 const learningWindows = 4
@@ -143,7 +148,8 @@
 	// window that judges the cut lasts for two round trips, and it never
 	// lowers the base.
 	early := a.cut.pending && elapsed < 2*(a.base+a.dependency)
-	if elapsed > 0 && !early && (n >= target || late) {
+	vain := a.cut.pending && w.samples*vainDivisor >= a.options.minSamples && a.cut.vain(w.mean())
+	if elapsed > 0 && !early && (n >= target || late || vain) {
 		a.decide(now)
 		a.window = window{opened: now, full: now}
 	}
@@ -247,6 +253,11 @@
 
 func (a *Adaptive) quarter() int { return (a.options.slots + 3) / 4 }
 
+// vain reports whether the latency is clearly the same as before the cut.
+func (c cut) vain(latency, noise time.Duration) bool {
+	return !c.helped(latency - 2*noise)
+}
+
 // helped reports whether the latency fell at least half as much as the limit.
 func (c cut) helped(latency time.Duration) bool {
 	share := (1 + float64(c.after)/float64(c.before)) / 2
--- a/wasabilimit/adaptive_test.go
+++ b/wasabilimit/adaptive_test.go
@@ -168,6 +168,20 @@
 	assert.Assert(t, lowest >= slots*3/4, "lowest %d", lowest)
 }
 
+// Guards against an upstream with few slots that loses most of its throughput
+// for a whole window of calls when each of them takes longer: a cut that does
+// not help must end after a few.
+func TestVainCutEndsEarly(t *testing.T) {
+	const few = 3
+	u := newUpstream(wasabilimit.New(wasabilimit.NewOptions(few)))
+	u.run(2*time.Second, nil)
+	u.slowdown = 4
+	cut := u.run(5*time.Second, func(l int) bool { return l < few })
+	assert.Assert(t, cut < 5*time.Second, "no cut, the test shows nothing")
+	back := u.run(5*time.Second, func(l int) bool { return l == few })
+	assert.Assert(t, back <= 10*4*service, "limit back after %s", back)
+}
+
 // Guards against a cold upstream that gets its full load at once, or never.
 func TestColdStartRamps(t *testing.T) {
 	u := newUpstream(wasabilimit.New(wasabilimit.NewOptions(slots).WithCold(true)))
