--- a/wasabinode/settings.go
+++ b/wasabinode/settings.go
@@ -21,11 +21,13 @@
 	connections     int
 	drainTime       time.Duration
 	leaveTime       time.Duration
+	goAwayTime      time.Duration
 	claimTime       time.Duration
 	headerTimeout   time.Duration
 	bodyIdleTimeout time.Duration
 	idleTimeout     time.Duration
 	watchInterval   time.Duration
+	coldTime        time.Duration
 	maxHeaderBytes  int
 	replayBytes     int
 	maxOpenCalls    int
@@ -50,6 +52,9 @@
 		// Routes change within a second; an upstream that leaves must get no
 		// new work after 3 s.
 		leaveTime: 2 * time.Second,
+		// Several times the way between regions, for the word to open no
+		// more streams to arrive, and for what was sent before it.
+		goAwayTime: 100 * time.Millisecond,
 		// A claim takes a few milliseconds within a region; one that takes
 		// longer than this is better refused than waited for.
 		claimTime:       250 * time.Millisecond,
@@ -57,10 +62,12 @@
 		bodyIdleTimeout: 30 * time.Second,
 		idleTimeout:     2 * time.Minute,
 		watchInterval:   250 * time.Millisecond,
-		maxHeaderBytes:  32 << 10,
-		replayBytes:     64 << 10,
-		maxOpenCalls:    4096,
-		maxCallers:      4096,
+		// Longer than most upstreams take to fill their caches and pools.
+		coldTime:       10 * time.Second,
+		maxHeaderBytes: 32 << 10,
+		replayBytes:    64 << 10,
+		maxOpenCalls:   4096,
+		maxCallers:     4096,
 	}
 }
 
@@ -93,6 +100,10 @@
 // that it leaves.
 func (s Settings) WithLeaveTime(d time.Duration) Settings { s.leaveTime = d; return s }
 
+// WithGoAwayTime returns a copy that keeps links open for d after it asked
+// other nodes to open no more streams on them.
+func (s Settings) WithGoAwayTime(d time.Duration) Settings { s.goAwayTime = d; return s }
+
 // WithClaimTime returns a copy that waits at most d for a claim.
 func (s Settings) WithClaimTime(d time.Duration) Settings { s.claimTime = d; return s }
 
@@ -107,6 +118,10 @@
 // connections again every d.
 func (s Settings) WithWatchInterval(d time.Duration) Settings { s.watchInterval = d; return s }
 
+// WithColdTime returns a copy that announces an upstream as cold for at most d
+// after it accepts connections.
+func (s Settings) WithColdTime(d time.Duration) Settings { s.coldTime = d; return s }
+
 // WithMaxHeaderBytes returns a copy with another bound on a request's headers.
 func (s Settings) WithMaxHeaderBytes(n int) Settings { s.maxHeaderBytes = n; return s }
 
--- a/wasabiraft/runner.go
+++ b/wasabiraft/runner.go
@@ -85,7 +85,6 @@
 	waiting   map[uint64]*proposal
 	confirmed []*confirmBatch
 	changes   map[uint64]chan error
-	lists     int
 }
 
 type leaderInfo struct {
@@ -247,8 +246,8 @@
 func (r *Runner) process() error {
 	for {
 		d := r.replica.Ready()
-		r.noteLeader()
 		if d.Empty() {
+			r.noteLeader()
 			return nil
 		}
 		r.send(d.Now)
@@ -268,6 +267,9 @@
 			r.apply(e)
 		}
 		r.answerReads(d.Reads)
+		// After applying: a leader that steps down with this Ready answers
+		// what it has committed.
+		r.noteLeader()
 		r.takeSnapshot()
 	}
 }
@@ -298,6 +300,7 @@
 		if !r.full {
 			r.full = true
 			r.leader.Store(&leaderInfo{})
+			r.dropWaiting(wasabistand.ErrUnknownOutcome.New("disk full"))
 			r.record(wasabistand.EventGroupLeader, "disk", err.Error())
 		}
 		retry := time.NewTimer(fullRetry)
