--- a/wasabiheader/header_test.go
+++ b/wasabiheader/header_test.go
@@ -22,7 +22,7 @@
 	names := []string{wasabiheader.Service, wasabiheader.Caller, wasabiheader.Timeout, wasabiheader.Request, wasabiheader.Call, wasabiheader.IdempotencyKey}
 	value := rapid.OneOf(rapid.StringMatching(`[ -~]{0,140}`), rapid.String(), rapid.Map(rapid.Int64(), func(n int64) string { return strconv.FormatInt(n, 10) }))
 	rapid.Check(t, func(t *rapid.T) {
-		r := &http.Request{Method: "GET", Host: rapid.SampledFrom([]string{"", "a.example", "127.0.0.1:80", "[::1]:80", "b"}).Draw(t, "host"), Header: http.Header{}}
+		r := &http.Request{Method: http.MethodGet, Host: rapid.SampledFrom([]string{"", "a.example", "127.0.0.1:80", "[::1]:80", "b"}).Draw(t, "host"), Header: http.Header{}}
 		for _, name := range names {
 			if rapid.Bool().Draw(t, "set") {
 				r.Header[name] = rapid.SliceOfN(value, 1, 2).Draw(t, name)
--- a/wasabilink/link_test.go
+++ b/wasabilink/link_test.go
@@ -85,7 +85,7 @@
 // Close does not reach the peer once the connection is cut.
 func (b *blackhole) Close() error {
 	if b.cut.Load() {
-		return b.Conn.SetReadDeadline(time.Unix(1, 0))
+		return b.SetReadDeadline(time.Unix(1, 0))
 	}
 	return b.Conn.Close()
 }
