Take claim limits from the leader's settings by a command

Cause: replicas whose machines started from different settings files would decide claims differently, and one key could be granted twice after a change of leader. Change: all machines start alike; the leader proposes the limits of its settings when others are in force.

--- a/wasabicontrol/claims_test.go
+++ b/wasabicontrol/claims_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/wasabistand/wasabistand"
+	"github.com/wasabistand/wasabistand/wasabicontrol"
 )
 
 func claim(key string, call uint64) wasabistand.Claim {
@@ -114,3 +116,25 @@
 	restarted.await(t, "revision after the region is back", atLeast(latest))
 	first.await(t, "revision after the region is back", atLeast(latest))
 }
+
+// Guards against limits that differ between replicas, and against a full table
+// that forgets claims early or grants more.
+func TestLimitsOfTheLeaderAreInForce(t *testing.T) {
+	c := newCluster(t, 3, 0, func(s wasabicontrol.Settings) wasabicontrol.Settings {
+		return s.WithClaims(time.Hour, 5, 1<<20)
+	})
+	revision := c.mustApply("control-1", 0, "first", "1s")
+	n := c.node("reports-1", "reports", 1, c.ids...)
+	n.await(t, "revision", atLeast(revision))
+	granted := claim("granted", 1)
+	assert.Equal(t, n.take(t, granted).Status, wasabistand.ClaimGranted)
+	for k := uint64(2); ; k++ {
+		_, err := n.Take(t.Context(), claim(fmt.Sprintf("key-%d", k), k))
+		if err != nil && strings.Contains(err.Error(), "the home group refused") {
+			break
+		}
+	}
+	again := granted
+	again.Call = 1 << 40
+	assert.Equal(t, n.take(t, again).Status, wasabistand.ClaimHeld)
+}
--- a/wasabicontrol/group.go
+++ b/wasabicontrol/group.go
@@ -33,8 +33,9 @@
 	if err != nil {
 		return nil, err
 	}
-	limits := wasabistate.NewOptions().WithLimits(wasabistate.Limits{ClaimRetention: s.retention, ClaimEntries: s.maxClaimEntries, AnswerBytes: 256 << 20})
-	out := &group{settings: g, machine: newMachine(limits, changed), transport: newTransport(s.cluster, g.Name, p)}
+	// Replicas must start alike: the settings' limits come by a command of the
+	// leader, since settings may differ between instances.
+	out := &group{settings: g, machine: newMachine(wasabistate.NewOptions(), changed), transport: newTransport(s.cluster, g.Name, p)}
 	var list []*wasabistandv1.Member
 	for _, m := range g.Members {
 		list = append(list, &wasabistandv1.Member{Id: m.ID, Address: m.Address})
@@ -69,6 +70,21 @@
 	return g.runner.Propose(ctx, b)
 }
 
+// alignLimits proposes the limits of the settings while this instance leads
+// and others are in force.
+func (g *group) alignLimits(ctx context.Context, s Settings) error {
+	want := wasabistate.Limits{ClaimRetention: s.retention, ClaimEntries: s.maxClaimEntries, AnswerBytes: s.maxAnswerBytes}
+	if !g.leads(s.id) || g.machine.limits() == want {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.confirmTimeout)
+	defer cancel()
+	_, err := g.propose(ctx, &wasabistandv1.StateCommand{Kind: &wasabistandv1.StateCommand_Limits{Limits: &wasabistandv1.LimitsCommand{
+		ClaimRetentionMs: want.ClaimRetention.Milliseconds(), ClaimEntries: uint64(want.ClaimEntries), AnswerBytes: uint64(want.AnswerBytes),
+	}}})
+	return err
+}
+
 func (g *group) close() error {
 	g.claims.close()
 	g.confirmer.close()
--- a/wasabicontrol/instance.go
+++ b/wasabicontrol/instance.go
@@ -223,6 +223,9 @@
 	defer t.Stop()
 	for {
 		_ = g.confirmer.confirm(i.ctx)
+		if err := g.alignLimits(i.ctx, i.settings); err != nil && i.ctx.Err() == nil {
+			i.log.Warn().Str("group", g.settings.Name).Err(err).Msg("limits not in force yet")
+		}
 		select {
 		case <-i.ctx.Done():
 			return
--- a/wasabicontrol/machine.go
+++ b/wasabicontrol/machine.go
@@ -86,6 +86,12 @@
 	return list
 }
 
+func (m *machine) limits() wasabistate.Limits {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.state.Limits()
+}
+
 func (m *machine) claims() wasabistate.ClaimStats {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
--- a/wasabicontrol/settings.go
+++ b/wasabicontrol/settings.go
@@ -96,6 +96,7 @@
 	maxClaimBatch    int
 	retention        time.Duration
 	maxClaimEntries  int
+	maxAnswerBytes   int64
 }
 
 // NewSettings returns the default settings of one control instance that is
@@ -124,6 +125,7 @@
 		maxClaimBatch:    512,
 		retention:        24 * time.Hour,
 		maxClaimEntries:  500_000,
+		maxAnswerBytes:   256 << 20,
 	}
 }
 
@@ -171,10 +173,11 @@
 	return s
 }
 
-// WithClaims returns a copy that keeps answers of claims for another time and
-// holds at most entries of them a group.
-func (s Settings) WithClaims(retention time.Duration, entries int) Settings {
-	s.retention, s.maxClaimEntries = retention, entries
+// WithClaims returns a copy that keeps settled claims for another time, and
+// holds at most entries claims and answers bytes of recorded answers a group.
+// The settings of a group's leader are in force.
+func (s Settings) WithClaims(retention time.Duration, entries int, answers int64) Settings {
+	s.retention, s.maxClaimEntries, s.maxAnswerBytes = retention, entries, answers
 	return s
 }
 
@@ -219,5 +222,8 @@
 	if s.maxSessions < 1 || s.maxQueuedBytes < 1 || s.maxClaims < 1 || s.maxClaimBatch < 1 || s.maxClaimEntries < 1 {
 		return wasabistand.ErrInvalid.New("Bounds: each must be at least 1")
 	}
+	if s.retention < time.Second || s.retention > 7*24*time.Hour {
+		return wasabistand.ErrInvalid.New("ClaimRetention: %v, allowed are 1s to 168h", s.retention)
+	}
 	return nil
 }
