--- a/wasabinode/outcome_test.go
+++ b/wasabinode/outcome_test.go
@@ -108,17 +108,18 @@
 	}
 }
 
-// Guards against retries that multiply from hop to hop: whatever the depth, a
-// request causes its first attempts and at most its allowance of retries.
+// Guards against retries that multiply from hop to hop: although each upstream
+// resends on its own, a request causes its first attempts and at most its
+// allowance of retries.
 func TestRetriesOfOneTreeAreBounded(t *testing.T) {
 	m := newMesh(t)
 	leaf := &counter{h: cutting}
 	m.add("c1", "c", leaf.ServeHTTP)
 	m.add("c2", "c", leaf.ServeHTTP)
 	var b1, b2, a *wasabinode.Node
-	b1 = m.add("b1", "b", func(w http.ResponseWriter, r *http.Request) { below(m, &b1, "c", 0)(w, r) })
-	b2 = m.add("b2", "b", func(w http.ResponseWriter, r *http.Request) { below(m, &b2, "c", 0)(w, r) })
-	a = m.add("a1", "a", func(w http.ResponseWriter, r *http.Request) { below(m, &a, "b", 0)(w, r) })
+	b1 = m.add("b1", "b", func(w http.ResponseWriter, r *http.Request) { below(m, &b1, "c", 3)(w, r) })
+	b2 = m.add("b2", "b", func(w http.ResponseWriter, r *http.Request) { below(m, &b2, "c", 3)(w, r) })
+	a = m.add("a1", "a", func(w http.ResponseWriter, r *http.Request) { below(m, &a, "b", 3)(w, r) })
 	m.ready()
 	w := m.do(request(t, a, "GET", "a", "/read/x"))
 	assert.Equal(t, w.status, 502)
@@ -299,3 +300,30 @@
 	}
 	wait.Wait()
 }
+
+// Guards against a resend that gets an empty answer for one that was too large
+// to keep, and against a claim settled by an answer that was cut.
+func TestResendOfLargeAnswerLearnsThatItRan(t *testing.T) {
+	m := newMesh(t)
+	up := &counter{h: func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, strings.Repeat("x", 100_000))
+		if r.Header.Get("Idempotency-Key") == "cut" {
+			panic(http.ErrAbortHandler)
+		}
+	}}
+	m.add("b1", "b", up.ServeHTTP)
+	a := m.add("a1", "a", noCall)
+	m.ready()
+	assert.Equal(t, len(m.do(request(t, a, "POST", "b", "/approve", "Idempotency-Key", "k")).body), 100_000)
+	assert.Equal(t, (<-m.claims.settled).Outcome, wasabistand.Answered)
+	w := m.refused(request(t, a, "POST", "b", "/approve", "Idempotency-Key", "k"), 409, "answered", "already-run")
+	assert.Equal(t, w.header.Get("Wasabi-Replayed"), "true")
+	answer, err := m.client.Do(request(t, a, "POST", "b", "/approve", "Idempotency-Key", "cut"))
+	if err == nil {
+		_, err = io.ReadAll(answer.Body)
+		assert.NilError(t, answer.Body.Close())
+	}
+	assert.Assert(t, err != nil)
+	assert.Equal(t, (<-m.claims.settled).Outcome, wasabistand.Unknown)
+	assert.Equal(t, up.n.Load(), int64(2))
+}
--- a/wasabinode/route.go
+++ b/wasabinode/route.go
@@ -151,7 +151,7 @@
 // that are wrong in themselves, only add load.
 func elsewhere(r wasabistand.Reason) bool {
 	return slices.Contains([]wasabistand.Reason{
-		wasabistand.ReasonQueueFull, wasabistand.ReasonDisplaced, wasabistand.ReasonLevel,
+		wasabistand.ReasonQueueFull, wasabistand.ReasonDisplaced, wasabistand.ReasonLevel, wasabistand.ReasonDeadline,
 		wasabistand.ReasonLeaving, wasabistand.ReasonNotReady, wasabistand.ReasonConnect,
 		wasabistand.ReasonLinkLost, wasabistand.ReasonCut, wasabistand.ReasonShed, wasabistand.ReasonPreempted,
 	}, r)
@@ -200,7 +200,7 @@
 	if s.keep {
 		s.recorded.status, s.recorded.headers = status, headers
 	}
-	s.started = true
+	s.started, s.call.status = true, status
 	s.allowed = bodyAllowed(s.request.Method, status)
 	s.flush = s.allowed && length < 0
 	// A caller that reads slowly must not hold the upstream's slot longer
