Test nodes whose open connections go silent

Cause: connections may go silent for good while new ones work. Change: a test makes all open connections of a node silent and asks for a claim and the next configuration; a home group without members is refused in the settings.

--- a/wasabicontrol/cluster_test.go
+++ b/wasabicontrol/cluster_test.go
@@ -216,6 +216,20 @@
 	pool *wasabilink.Pool
 	// downs gets the reason of each session that ended.
 	downs chan wasabistand.Reason
+	// silent is raised to make all open connections silent.
+	silent atomic.Int32
+}
+
+// dial opens a connection that goes silent when n.silent is raised.
+func (n *node) dial(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	now := new(atomic.Int32)
+	now.Store(n.silent.Load())
+	return &cut{Conn: conn, from: &n.silent, to: now}, nil
 }
 
 // Record implements wasabistand.Recorder.
@@ -234,10 +248,10 @@
 	for _, k := range controls {
 		addresses = append(addresses, c.links[k])
 	}
-	pool := wasabilink.NewPool(wasabilink.NewOptions("test", id, incarnation), nil)
+	n := &node{downs: make(chan wasabistand.Reason, 64)}
+	n.pool = wasabilink.NewPool(wasabilink.NewOptions("test", id, incarnation).WithDial(n.dial), nil)
 	o := wasabisession.NewOptions(addresses...).WithBackoff(20*time.Millisecond, 50*time.Millisecond, 500*time.Millisecond)
-	n := &node{pool: pool, downs: make(chan wasabistand.Reason, 64)}
-	n.Session = wasabisession.New(o, pool, instance(id, service, incarnation), n)
+	n.Session = wasabisession.New(o, n.pool, instance(id, service, incarnation), n)
 	c.t.Cleanup(n.close)
 	return n
 }
--- a/wasabicontrol/control_test.go
+++ b/wasabicontrol/control_test.go
@@ -174,6 +174,23 @@
 	n.await(t, "revision after the move", atLeast(revision))
 }
 
+// Guards against a node that waits on open connections that went silent while
+// new ones work, for its configuration and for its claims.
+func TestSilentConnectionsAreReplaced(t *testing.T) {
+	c := newCluster(t, 3, 0, nil)
+	revision := c.mustApply("control-1", 0, "first", "1s")
+	n := c.node("reports-1", "reports", 1, c.ids...)
+	n.await(t, "revision", atLeast(revision))
+	assert.Equal(t, n.take(t, claim("before", 1)).Status, wasabistand.ClaimGranted)
+	n.silent.Add(1)
+	revision = c.mustApply("control-1", revision, "second", "2s")
+	assert.Equal(t, n.take(t, claim("after", 2)).Status, wasabistand.ClaimGranted)
+	<-n.downs
+	// A change that was sent on the old connection may have arrived.
+	revision = c.mustApply("control-1", revision, "third", "3s")
+	n.await(t, "revision on a new connection", atLeast(revision))
+}
+
 // Guards against a change that some of many sessions never get.
 func TestManySessionsGetAChange(t *testing.T) {
 	c := newCluster(t, 3, 0, nil)
--- a/wasabicontrol/settings.go
+++ b/wasabicontrol/settings.go
@@ -202,6 +202,9 @@
 		if (g.Name == RootGroup) != (g.Region == "") {
 			return wasabistand.ErrInvalid.New("Groups: %q with region %q, allowed is a region for each group but root", g.Name, g.Region)
 		}
+		if !g.Join && len(g.Members) == 0 {
+			return wasabistand.ErrInvalid.New("Groups: %q has no members, allowed is at least one", g.Name)
+		}
 		if g.Name == RootGroup && !g.has(s.id) {
 			return wasabistand.ErrInvalid.New("Groups: %q does not list this instance %q", g.Name, s.id)
 		}
