Let callers bind a node's listeners

A session needs the node's addresses before the node has its Directory. The listeners can be bound outside, and the settings give the first announcement. Measured: go test -race ./wasabinode passes.

--- a/wasabinode/node.go
+++ b/wasabinode/node.go
@@ -99,32 +99,37 @@
 	if n.metrics, err = newMetrics(n, p.Registerer); err != nil {
 		return nil, Error.Wrap(err)
 	}
+	n.announced.instance = s.Instance(s.linkAddress, s.adminAddress)
 	n.life, n.giveUp = context.WithCancel(context.Background())
 	return n, nil
 }
 
 // Start opens the listeners and serves.
 func (n *Node) Start() error {
-	traffic, err := net.Listen("tcp", n.settings.trafficAddress)
+	traffic, err := listen(n.parts.TrafficListener, n.settings.trafficAddress)
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	link, err := net.Listen("tcp", n.settings.linkAddress)
+	link, err := listen(n.parts.LinkListener, n.settings.linkAddress)
 	if err != nil {
 		return Error.Wrap(errs.Combine(err, traffic.Close()))
 	}
-	var admin net.Listener
-	if n.settings.adminAddress != "" {
-		if admin, err = net.Listen("tcp", n.settings.adminAddress); err != nil {
+	admin := n.parts.AdminListener
+	if admin != nil || n.settings.adminAddress != "" {
+		if admin, err = listen(admin, n.settings.adminAddress); err != nil {
 			return Error.Wrap(errs.Combine(err, traffic.Close(), link.Close()))
 		}
 		n.adminAddress = admin.Addr()
 	}
 	n.trafficAddress = traffic.Addr()
 	n.pool = wasabilink.NewPool(n.parts.Link, nil)
-	n.announced.init(n)
+	n.announced.mu.Lock()
+	n.announced.instance = n.settings.Instance(link.Addr().String(), n.AdminAddress())
+	n.announced.mu.Unlock()
 	n.links = wasabilink.Serve(link, n.parts.Link, n.serveStream)
-	n.announce(func(i *wasabistand.Instance) { i.LinkAddress = n.links.Addr().String() })
+	if n.parts.Changed != nil {
+		n.parts.Changed(n.Announcement())
+	}
 	n.traffic = n.server(n)
 	n.background.Go(func() { _ = n.traffic.Serve(traffic) })
 	if admin != nil {
@@ -138,6 +143,13 @@
 	return nil
 }
 
+func listen(ln net.Listener, address string) (net.Listener, error) {
+	if ln != nil {
+		return ln, nil
+	}
+	return net.Listen("tcp", address)
+}
+
 type connKey struct{}
 
 func (n *Node) server(h http.Handler) *http.Server {
--- a/wasabinode/parts.go
+++ b/wasabinode/parts.go
@@ -1,6 +1,7 @@
 package wasabinode
 
 import (
+	"net"
 	"net/http"
 	"time"
 
@@ -29,6 +30,10 @@
 	Limiter func(slots int) wasabistand.Limiter
 	// Link holds the link options with the node's identity.
 	Link wasabilink.Options
+	// TrafficListener, LinkListener and AdminListener take the place of the
+	// addresses in the settings, for callers that must know the bound
+	// addresses before they have a Directory. The node closes them.
+	TrafficListener, LinkListener, AdminListener net.Listener
 	// Clock stamps calls between nodes, nil for no stamps.
 	Clock wasabilink.Clock
 	// Now is the wall clock, nil for time.Now.
--- a/wasabinode/settings.go
+++ b/wasabinode/settings.go
@@ -136,6 +136,23 @@
 // WithMaxCallers returns a copy that tracks the shares of at most n callers.
 func (s Settings) WithMaxCallers(n int) Settings { s.maxCallers = n; return s }
 
+// Instance returns the first announcement of a node with these settings that
+// is bound to the addresses.
+func (s Settings) Instance(link, admin string) wasabistand.Instance {
+	return wasabistand.Instance{
+		ID:           s.instance,
+		Incarnation:  s.incarnation,
+		Sequence:     1,
+		Service:      s.service,
+		LinkAddress:  link,
+		AdminAddress: admin,
+		Location:     s.location,
+		Slots:        s.slots,
+		Connections:  s.connections,
+		State:        wasabistand.Cold,
+	}
+}
+
 // String returns the instance.
 func (s Settings) String() string { return s.instance }
 
--- a/wasabinode/state.go
+++ b/wasabinode/state.go
@@ -62,22 +62,6 @@
 	warm     bool // it has done so for a while
 }
 
-func (a *announcement) init(n *Node) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	s := n.settings
-	a.instance = wasabistand.Instance{
-		ID:           s.instance,
-		Incarnation:  s.incarnation,
-		Service:      s.service,
-		AdminAddress: n.AdminAddress(),
-		Location:     s.location,
-		Slots:        s.slots,
-		Connections:  s.connections,
-		State:        wasabistand.Cold,
-	}
-}
-
 // Announcement returns what the node says of itself now.
 func (n *Node) Announcement() wasabistand.Instance {
 	a := &n.announced
