Add the node and control commands

Cause: nodes and control instances could only be started from Go code. A control instance that is alone in its group never ended its shutdown, since it waited for another voter to lead. Change: wasabidaemon maps settings files to the shells, serves a node's events on its admin address and runs both until a signal; the local systems of the demonstration take their decision parts from it. Handing over leadership ends at once without another voter.

--- a/cmd/wasabistand/main.go
+++ b/cmd/wasabistand/main.go
@@ -13,6 +13,7 @@
 
 	"github.com/wasabistand/wasabistand/wasabibench"
 	"github.com/wasabistand/wasabistand/wasabicommand"
+	"github.com/wasabistand/wasabistand/wasabidaemon"
 	"github.com/wasabistand/wasabistand/wasabidemo"
 )
 
@@ -20,6 +21,11 @@
 	os.Exit(run(context.Background(), os.Args[1:]))
 }
 
+func subcommands() []*ffcli.Command {
+	list := append(wasabidaemon.New(os.Stderr), wasabicommand.New(os.Stdout)...)
+	return append(list, wasabidemo.New(os.Stdout), wasabibench.New(os.Stdout, os.Stderr))
+}
+
 func run(ctx context.Context, args []string) int {
 	root := &ffcli.Command{
 		Name:        "wasabistand",
@@ -27,7 +33,7 @@
 		ShortHelp:   "overload control for service call graphs",
 		LongHelp:    wasabicommand.ExitCodes,
 		FlagSet:     flag.NewFlagSet("wasabistand", flag.ContinueOnError),
-		Subcommands: append(wasabicommand.New(os.Stdout), wasabidemo.New(os.Stdout), wasabibench.New(os.Stdout, os.Stderr)),
+		Subcommands: subcommands(),
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) > 0 {
 				return wasabicommand.UnknownCommand(args[0])
--- /dev/null
+++ b/wasabidaemon/control.go
@@ -0,0 +1,92 @@
+package wasabidaemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/wasabistand/wasabistand"
+	"github.com/wasabistand/wasabistand/wasabicontrol"
+	"github.com/wasabistand/wasabistand/wasabievent"
+	"github.com/wasabistand/wasabistand/wasabiprocess"
+	"github.com/wasabistand/wasabistand/wasabiraft"
+	"github.com/wasabistand/wasabistand/wasabisettings"
+)
+
+// Bounds of a session that settings do not name: two documents of the largest
+// size with the lists of all services, and the time after which a node that
+// reads nothing is dropped.
+const (
+	sessionQueueBytes = 4 << 20
+	sessionSlowAfter  = 5 * time.Second
+)
+
+// Control is a control instance as a daemon.
+type Control struct {
+	settings wasabisettings.ControlInstance
+	log      zerolog.Logger
+	instance *wasabicontrol.Instance
+}
+
+var _ wasabiprocess.Daemon = (*Control)(nil)
+
+// NewControl returns a control instance that has not started.
+func NewControl(s wasabisettings.ControlInstance, log zerolog.Logger) *Control {
+	return &Control{settings: s, log: log}
+}
+
+// Start implements wasabiprocess.Daemon.
+func (c *Control) Start(context.Context) error {
+	s := c.settings
+	clock := wasabievent.NewClock(time.Now)
+	raft := wasabiraft.NewSettings()
+	i, err := wasabicontrol.New(controlSettings(s), wasabicontrol.Parts{
+		Log: &c.log, Clock: clock, Events: wasabievent.NewRing(s.Instance, s.Limits.Events, clock),
+		Raft: raft.WithSnapshots(s.Limits.SnapshotEntries, raft.TrailingEntries),
+	})
+	if err != nil {
+		return err
+	}
+	c.instance = i
+	return i.Start()
+}
+
+func controlSettings(s wasabisettings.ControlInstance) wasabicontrol.Settings {
+	var groups []wasabicontrol.Group
+	for _, g := range s.Groups {
+		group := wasabicontrol.Group{Name: g.Name, Region: g.Region, Join: g.Join}
+		for _, m := range g.Members {
+			group.Members = append(group.Members, wasabicontrol.Member{ID: m.Instance, Address: m.Address})
+		}
+		groups = append(groups, group)
+	}
+	var tokens []wasabicontrol.Token
+	for _, t := range s.Tokens {
+		right := wasabicontrol.Read
+		if t.Right == wasabisettings.RightChange {
+			right = wasabicontrol.Change
+		}
+		tokens = append(tokens, wasabicontrol.Token{Name: t.Operator, Token: t.Token, Right: right})
+	}
+	return wasabicontrol.NewSettings(s.Cluster, s.Instance, s.DataFolder).
+		WithLocation(wasabistand.Location{Region: s.Region, FailureDomain: s.FailureDomain}).
+		WithAddresses(s.Listen.Link, s.Listen.API).
+		WithGroups(groups...).WithTokens(tokens...).
+		WithSessions(s.Limits.MaxSessions, sessionQueueBytes, sessionSlowAfter).
+		WithClaims(s.Limits.ClaimRetention.Duration, s.Limits.MaxClaims)
+}
+
+// Shutdown implements wasabiprocess.Daemon.
+func (c *Control) Shutdown(ctx context.Context) error { return c.instance.Shutdown(ctx) }
+
+// Close implements wasabiprocess.Daemon.
+func (c *Control) Close() error {
+	if c.instance == nil {
+		return nil
+	}
+	return c.instance.Close()
+}
+
+// String returns the instance.
+func (c *Control) String() string { return "control " + c.settings.Instance }
--- /dev/null
+++ b/wasabidaemon/decisions.go
@@ -0,0 +1,36 @@
+package wasabidaemon
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/wasabistand/wasabistand"
+	"github.com/wasabistand/wasabistand/wasabiadmission"
+	"github.com/wasabistand/wasabistand/wasabilevel"
+	"github.com/wasabistand/wasabistand/wasabilimit"
+	"github.com/wasabistand/wasabistand/wasabinode"
+	"github.com/wasabistand/wasabistand/wasabiretry"
+	"github.com/wasabistand/wasabistand/wasabiroute"
+)
+
+// Decisions returns a node's parts with the decision parts set. random is used
+// by the node's router only. An upstream that needs coldStart to warm up
+// starts with a part of its slots.
+func Decisions(random *rand.Rand, coldStart time.Duration) wasabinode.Parts {
+	return wasabinode.Parts{
+		Levels: wasabilevel.New(wasabilevel.NewOptions()),
+		Router: func(links []wasabistand.RegionLink) wasabistand.Router {
+			return wasabiroute.New(random, wasabiroute.NewOptions().WithRegionLinks(links))
+		},
+		Budget: func(r wasabistand.RetryContract) wasabistand.RetryBudget {
+			return wasabiretry.NewBudget(wasabiretry.NewBudgetOptions().WithSharePercent(r.SharePercent).WithMinPerSecond(r.MinPerSecond))
+		},
+		Allowance: func(n int) wasabistand.Allowance { return wasabiretry.NewAllowance(n) },
+		Admission: func(limit int, s wasabistand.Service) wasabistand.Admission {
+			return wasabiadmission.New(wasabiadmission.NewOptions().WithLimit(limit).WithQueueLimit(s.QueueLimit).WithPreempt(s.PreemptLesser))
+		},
+		Limiter: func(slots int) wasabistand.Limiter {
+			return wasabilimit.New(wasabilimit.NewOptions(slots).WithCold(coldStart > 0))
+		},
+	}
+}
--- a/wasabilocal/local_test.go
+++ b/wasabilocal/local_test.go
@@ -1,6 +1,7 @@
 package wasabilocal_test
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -48,7 +49,7 @@
 	_, err = io.ReadFull(c, got)
 	assert.NilError(t, err)
 	assert.Assert(t, time.Since(start) >= 2*latency)
-	assert.DeepEqual(t, got, sent)
+	assert.Assert(t, bytes.Equal(got, sent))
 	assert.Equal(t, n.CrossRegionBytes(), int64(2*size))
 }
 
--- a/wasabilocal/product.go
+++ b/wasabilocal/product.go
@@ -11,13 +11,9 @@
 	"time"
 
 	"github.com/wasabistand/wasabistand"
-	"github.com/wasabistand/wasabistand/wasabiadmission"
-	"github.com/wasabistand/wasabistand/wasabilevel"
-	"github.com/wasabistand/wasabistand/wasabilimit"
+	"github.com/wasabistand/wasabistand/wasabidaemon"
 	"github.com/wasabistand/wasabistand/wasabilink"
 	"github.com/wasabistand/wasabistand/wasabinode"
-	"github.com/wasabistand/wasabistand/wasabiretry"
-	"github.com/wasabistand/wasabistand/wasabiroute"
 	"github.com/wasabistand/wasabistand/wasabiupstream"
 )
 
@@ -83,29 +79,17 @@
 	link := wasabilink.NewOptions(cluster, w.Name, 1).WithDial(func(ctx context.Context, address string) (net.Conn, error) {
 		return dial(ctx, "tcp", address)
 	})
+	parts := wasabidaemon.Decisions(rand.New(rand.NewPCG(seed, 2)), 0)
+	parts.Directory, parts.Claims = n.Control, n.Control.Claims(w.Name)
+	parts.Recorder, parts.Link, parts.Changed = n.Watch, link, n.Control.Announce
+	admission := parts.Admission
+	parts.Admission = func(limit int, s wasabistand.Service) wasabistand.Admission {
+		return n.Watch.Admission(w.Name, admission(limit, s))
+	}
 	node, err := wasabinode.New(
 		wasabinode.NewSettings(w.Name, w.Service, w.Upstream.URL()).WithIncarnation(1).WithLocation(w.Location).
 			WithCapacity(c.Slots, c.Connections).WithMaxOpenCalls(20_000),
-		wasabinode.Parts{
-			Directory: n.Control,
-			Claims:    n.Control.Claims(w.Name),
-			Recorder:  n.Watch,
-			Levels:    wasabilevel.New(wasabilevel.NewOptions()),
-			Router: func(links []wasabistand.RegionLink) wasabistand.Router {
-				return wasabiroute.New(rand.New(rand.NewPCG(seed, 2)), wasabiroute.NewOptions().WithRegionLinks(links))
-			},
-			Budget: func(r wasabistand.RetryContract) wasabistand.RetryBudget {
-				return wasabiretry.NewBudget(wasabiretry.NewBudgetOptions().WithSharePercent(r.SharePercent).WithMinPerSecond(r.MinPerSecond))
-			},
-			Allowance: func(k int) wasabistand.Allowance { return wasabiretry.NewAllowance(k) },
-			Admission: func(limit int, s wasabistand.Service) wasabistand.Admission {
-				return n.Watch.Admission(w.Name, wasabiadmission.New(wasabiadmission.NewOptions().
-					WithLimit(limit).WithQueueLimit(s.QueueLimit).WithPreempt(s.PreemptLesser)))
-			},
-			Limiter: func(slots int) wasabistand.Limiter { return wasabilimit.New(wasabilimit.NewOptions(slots)) },
-			Link:    link,
-			Changed: n.Control.Announce,
-		})
+		parts)
 	if err != nil {
 		return err
 	}
--- a/wasabiraft/operate.go
+++ b/wasabiraft/operate.go
@@ -114,7 +114,8 @@
 }
 
 // Transfer hands leadership to another voter and returns once this member no
-// longer leads. On a member that does not lead it does nothing.
+// longer leads. On a member that does not lead, or that is the only voter, it
+// does nothing.
 func (r *Runner) Transfer(ctx context.Context) error {
 	poll := time.NewTicker(r.config.Settings.HeartbeatInterval / 4)
 	defer poll.Stop()
@@ -125,7 +126,8 @@
 			leads = r.replica.Role() == Leader
 			if leads && time.Since(asked) > r.config.Settings.ElectionTimeout {
 				asked = now()
-				_ = r.replica.Transfer(asked, "")
+				// Without another voter there is nobody to wait for.
+				leads = r.replica.Transfer(asked, "") == nil
 			}
 		})
 		if err != nil || !leads {
