Set the bound of recorded answers

Cause: control takes a bound on recorded answers, which no setting gave; the setting for the memory of commands reached nothing. Change: Limits.MaxAnswerBytes in place of Limits.CommandRetention.

--- a/wasabidaemon/control.go
+++ b/wasabidaemon/control.go
@@ -74,7 +74,7 @@
 		WithAddresses(s.Listen.Link, s.Listen.API).
 		WithGroups(groups...).WithTokens(tokens...).
 		WithSessions(s.Limits.MaxSessions, sessionQueueBytes, sessionSlowAfter).
-		WithClaims(s.Limits.ClaimRetention.Duration, s.Limits.MaxClaims)
+		WithClaims(s.Limits.ClaimRetention.Duration, s.Limits.MaxClaims, s.Limits.MaxAnswerBytes)
 }
 
 // Shutdown implements wasabiprocess.Daemon.
--- a/wasabisettings/control.go
+++ b/wasabisettings/control.go
@@ -76,8 +76,8 @@
 	MaxClaims int
 	// ClaimRetention is how long a claim's outcome is kept.
 	ClaimRetention wasabitoml.Duration
-	// CommandRetention is how long an operator's command may be sent again.
-	CommandRetention wasabitoml.Duration
+	// MaxAnswerBytes bounds the recorded answers held by one group.
+	MaxAnswerBytes int64
 	// SnapshotEntries is how many log entries are applied between snapshots.
 	SnapshotEntries int
 	// Events is how many events of the time line are kept.
@@ -87,12 +87,12 @@
 // DefaultControlLimits returns the limits of an instance that sets none.
 func DefaultControlLimits() ControlLimits {
 	return ControlLimits{
-		MaxSessions:      3000,
-		MaxClaims:        500_000,
-		ClaimRetention:   wasabitoml.Duration{Duration: 24 * time.Hour},
-		CommandRetention: wasabitoml.Duration{Duration: 24 * time.Hour},
-		SnapshotEntries:  10_000,
-		Events:           10_000,
+		MaxSessions:     3000,
+		MaxClaims:       500_000,
+		ClaimRetention:  wasabitoml.Duration{Duration: 24 * time.Hour},
+		MaxAnswerBytes:  256 << 20,
+		SnapshotEntries: 10_000,
+		Events:          10_000,
 	}
 }
 
@@ -122,8 +122,10 @@
 	l := c.Limits
 	checkCount(d, "Limits.MaxSessions", l.MaxSessions, 1, 100_000)
 	checkCount(d, "Limits.MaxClaims", l.MaxClaims, 1, 10_000_000)
-	d.CheckTime("Limits.ClaimRetention", l.ClaimRetention, time.Second, 30*24*time.Hour)
-	d.CheckTime("Limits.CommandRetention", l.CommandRetention, time.Minute, 30*24*time.Hour)
+	d.CheckTime("Limits.ClaimRetention", l.ClaimRetention, time.Second, 7*24*time.Hour)
+	if l.MaxAnswerBytes < 0 || l.MaxAnswerBytes > 64<<30 {
+		d.Refuse("Limits.MaxAnswerBytes", "%d, allowed are 0 to %d", l.MaxAnswerBytes, int64(64<<30))
+	}
 	checkCount(d, "Limits.SnapshotEntries", l.SnapshotEntries, 10, 10_000_000)
 	checkCount(d, "Limits.Events", l.Events, 1, 10_000_000)
 	return c, d.Err()
