--- a/wasabibench/bench.go
+++ b/wasabibench/bench.go
@@ -77,6 +77,7 @@
 		{"recovery", "time until goodput is back after a surge on a slow deep service", recovery},
 		{"overhead", "time that two nodes add to a call", overhead},
 		{"regions", "bytes that cross regions for each answered request", regions},
+		{"sessions", "memory, traffic and processor time of node sessions with control", sessions},
 		{"claims", "memory and time of the claim table", claims},
 		{"members", "memory and time of member lists and their deltas", members},
 	}
