Name log and event fields in Pascal case, and tell received from in force

Cause: a session and its node both recorded config.in_force, so the time line showed each revision twice; log times had no fraction of a second; the leader's own silence was shown as time since it was heard. Change: sessions record config.received or config.refused; field names follow the house style; log times keep nanoseconds; the leader counts as heard.

--- a/event.go
+++ b/event.go
@@ -40,6 +40,8 @@
 	EventInstanceEjected EventKind = "instance.ejected"
 	EventInstanceState   EventKind = "instance.state"
 	EventConfigAccepted  EventKind = "config.accepted"
+	EventConfigReceived  EventKind = "config.received"
+	EventConfigRefused   EventKind = "config.refused"
 	EventConfigInForce   EventKind = "config.in_force"
 	EventLinkUp          EventKind = "link.up"
 	EventLinkSilent      EventKind = "link.silent"
--- a/wasabicontrol/adopt.go
+++ b/wasabicontrol/adopt.go
@@ -44,7 +44,7 @@
 		_, err := g.propose(actx, &wasabistandv1.StateCommand{Kind: &wasabistandv1.StateCommand_Adopt{Adopt: command}})
 		cancel()
 		if err != nil && ctx.Err() == nil {
-			i.log.Warn().Str("group", g.settings.Name).Uint64("revision", c.revision).Err(err).Msg("revision not adopted yet")
+			i.log.Warn().Str("Group", g.settings.Name).Uint64("Revision", c.revision).Err(err).Msg("revision not adopted yet")
 		}
 	}
 }
--- a/wasabicontrol/hub.go
+++ b/wasabicontrol/hub.go
@@ -284,7 +284,7 @@
 	}
 	s.ending = true
 	h.instance.metrics.sessionsEnded.WithLabelValues(reason).Inc()
-	h.instance.log.Warn().Str("instance", s.id).Str("reason", reason).Msg("session dropped")
+	h.instance.log.Warn().Str("Instance", s.id).Str("Reason", reason).Msg("session dropped")
 	h.wait.Go(s.out.abort)
 }
 
--- a/wasabicontrol/instance.go
+++ b/wasabicontrol/instance.go
@@ -88,7 +88,7 @@
 	} else {
 		i.log = zerolog.New(zerolog.ConsoleWriter{Out: os.Stderr, NoColor: true, TimeFormat: time.RFC3339}).With().Timestamp().Logger()
 	}
-	i.log = i.log.With().Str("control", s.id).Logger()
+	i.log = i.log.With().Str("Control", s.id).Logger()
 	i.ctx, i.cancel = context.WithCancel(context.Background())
 	i.metrics = newMetrics(i)
 	return i, nil
@@ -100,7 +100,7 @@
 		_ = i.Close()
 		return Error.Wrap(err)
 	}
-	i.log.Info().Str("links", i.settings.linkAddress).Str("api", i.settings.apiAddress).Msg("control instance started")
+	i.log.Info().Str("Links", i.settings.linkAddress).Str("API", i.settings.apiAddress).Msg("control instance started")
 	return nil
 }
 
@@ -165,7 +165,7 @@
 	switch kind {
 	case wasabistandv1.StreamOpen_KIND_GROUP, wasabistandv1.StreamOpen_KIND_MEMBERS, wasabistandv1.StreamOpen_KIND_FORWARD:
 		if peer := s.Link().Peer().Instance; !i.isMember(peer) {
-			i.log.Warn().Str("peer", peer).Int32("kind", int32(kind)).Msg("stream of an instance that is no member of a group")
+			i.log.Warn().Str("Peer", peer).Int32("kind", int32(kind)).Msg("stream of an instance that is no member of a group")
 			return
 		}
 	}
@@ -181,7 +181,7 @@
 	case wasabistandv1.StreamOpen_KIND_FORWARD:
 		i.serveForward(ctx, s)
 	default:
-		i.log.Warn().Str("peer", s.Link().Peer().Instance).Int32("kind", int32(kind)).Msg("stream of a kind that is not served")
+		i.log.Warn().Str("Peer", s.Link().Peer().Instance).Int32("kind", int32(kind)).Msg("stream of a kind that is not served")
 	}
 }
 
@@ -208,7 +208,7 @@
 		}
 		g := i.groups[f.GetGroup()]
 		if g == nil || f.GetCluster() != i.settings.cluster {
-			i.log.Warn().Str("peer", s.Link().Peer().Instance).Str("group", f.GetGroup()).Msg("messages of a group that is not served")
+			i.log.Warn().Str("Peer", s.Link().Peer().Instance).Str("Group", f.GetGroup()).Msg("messages of a group that is not served")
 			return
 		}
 		for _, m := range f.GetMessages() {
@@ -224,14 +224,14 @@
 	for {
 		_ = g.confirmer.confirm(i.ctx)
 		if err := g.alignLimits(i.ctx, i.settings); err != nil && i.ctx.Err() == nil {
-			i.log.Warn().Str("group", g.settings.Name).Err(err).Msg("limits not in force yet")
+			i.log.Warn().Str("Group", g.settings.Name).Err(err).Msg("limits not in force yet")
 		}
 		select {
 		case <-i.ctx.Done():
 			return
 		case <-g.runner.Done():
 			if err := g.runner.Err(); err != nil {
-				i.log.Error().Str("group", g.settings.Name).Err(err).Msg("replica stopped")
+				i.log.Error().Str("Group", g.settings.Name).Err(err).Msg("replica stopped")
 			}
 			return
 		case <-t.C:
--- a/wasabicontrol/operator.go
+++ b/wasabicontrol/operator.go
@@ -160,8 +160,8 @@
 	if a.Repeated {
 		return
 	}
-	i.log.Info().Str("kind", kind).Str("operator", operator).Uint64("revision", a.Revision).Msg("command accepted")
-	i.parts.Events.Record(wasabistand.Event{Kind: wasabistand.EventConfigAccepted, Fields: []wasabistand.HeaderField{{Name: "kind", Value: kind}, {Name: "operator", Value: operator}}})
+	i.log.Info().Str("Kind", kind).Str("Operator", operator).Uint64("Revision", a.Revision).Msg("command accepted")
+	i.parts.Events.Record(wasabistand.Event{Kind: wasabistand.EventConfigAccepted, Fields: []wasabistand.HeaderField{{Name: "Kind", Value: kind}, {Name: "Operator", Value: operator}}})
 }
 
 func (i *Instance) changeMembers(ctx context.Context, g *group, operator string, r *wasabistandv1.ChangeMembersRequest) (proto.Message, error) {
@@ -180,7 +180,7 @@
 	if err := g.runner.ChangeMembers(ctx, change); err != nil {
 		return nil, err
 	}
-	i.log.Info().Str("group", g.settings.Name).Str("operator", operator).Str("add", change.Add.GetId()).Str("remove", change.Remove).Msg("members changed")
+	i.log.Info().Str("Group", g.settings.Name).Str("Operator", operator).Str("Add", change.Add.GetId()).Str("Remove", change.Remove).Msg("members changed")
 	return &wasabistandv1.ChangeMembersResponse{Group: g.status(time.Now())}, nil
 }
 
--- a/wasabicontrol/session.go
+++ b/wasabicontrol/session.go
@@ -52,7 +52,7 @@
 	s := &session{out: out, interests: map[string]uint64{}}
 	if reason := i.startSession(ctx, s, stream); reason != "" {
 		i.metrics.sessionsEnded.WithLabelValues(reason).Inc()
-		i.log.Info().Str("peer", stream.Link().Peer().Instance).Str("reason", reason).Msg("session refused")
+		i.log.Info().Str("Peer", stream.Link().Peer().Instance).Str("Reason", reason).Msg("session refused")
 		out.finish(refusal(reason), refusalTimeout)
 		return
 	}
@@ -84,7 +84,7 @@
 	}
 	var address string
 	if s.group, address = i.home(instance.Location.Region); s.group == nil {
-		i.log.Info().Str("instance", instance.ID).Str("region", instance.Location.Region).Str("elsewhere", address).Msg("region is served by other control instances")
+		i.log.Info().Str("Instance", instance.ID).Str("Region", instance.Location.Region).Str("Elsewhere", address).Msg("region is served by other control instances")
 		return "other-region"
 	}
 	// The quorum is asked after the node asked, so that a node that restarted
--- a/wasabicontrol/status.go
+++ b/wasabicontrol/status.go
@@ -28,7 +28,7 @@
 	out := &wasabistandv1.GroupStatus{Name: g.settings.Name, Leader: s.Leader, Term: s.Term, CommitIndex: s.Commit}
 	for _, m := range s.Members {
 		k := &wasabistandv1.MemberStatus{Id: m.ID, Address: m.Address, Voter: m.Voter, MatchIndex: m.Match}
-		if !m.Heard.IsZero() {
+		if !m.Heard.IsZero() && m.ID != s.Leader {
 			k.HeardMsAgo = uint64(max(now.Sub(m.Heard).Milliseconds(), 0))
 		}
 		out.Members = append(out.Members, k)
--- a/wasabicontrol/sync.go
+++ b/wasabicontrol/sync.go
@@ -128,7 +128,7 @@
 // merge takes over what another control instance tells.
 func (h *hub) merge(m *wasabistandv1.MemberSync) {
 	if err := h.registry.Merge(time.Now(), m); err != nil {
-		h.instance.log.Warn().Str("source", m.GetSource()).Err(err).Msg("membership of another control instance is not allowed in part")
+		h.instance.log.Warn().Str("Source", m.GetSource()).Err(err).Msg("membership of another control instance is not allowed in part")
 	}
 	if len(m.GetSourceAddress()) <= 64 && len(m.GetSourceRegion()) <= 128 && (len(h.regions) < maxPeers || h.regions[m.GetSource()].address != "") {
 		h.regions[m.GetSource()] = peerPlace{m.GetSourceAddress(), m.GetSourceRegion()}
--- a/wasabidaemon/node.go
+++ b/wasabidaemon/node.go
@@ -47,7 +47,7 @@
 	events := wasabievent.NewRing(s.Instance, s.Limits.Events, clock)
 	links := wasabilink.NewOptions(s.Cluster, s.Instance, incarnation).WithClock(clock).WithMaxLinks(s.Limits.MaxLinks).
 		WithOnSilent(func(address string) {
-			events.Record(wasabistand.Event{Kind: wasabistand.EventLinkSilent, Fields: []wasabistand.HeaderField{{Name: "address", Value: address}}})
+			events.Record(wasabistand.Event{Kind: wasabistand.EventLinkSilent, Fields: []wasabistand.HeaderField{{Name: "Address", Value: address}}})
 			n.log.Warn().Str("Address", address).Msg("link silent")
 		})
 	location := wasabistand.Location{Region: s.Region, FailureDomain: s.FailureDomain}
--- a/wasabiprocess/log.go
+++ b/wasabiprocess/log.go
@@ -13,6 +13,11 @@
 	"github.com/rs/zerolog"
 )
 
+func init() {
+	// Events of one second must stay in order when logs are merged.
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+}
+
 // NewLogger returns a logger that writes one line of key=value pairs for each
 // event.
 func NewLogger(out io.Writer, role, instance string) zerolog.Logger {
--- a/wasabisession/conversation.go
+++ b/wasabisession/conversation.go
@@ -105,18 +105,18 @@
 		}
 		changed := u.GetRevision() > s.state.revision
 		if err := s.state.configure(u); err != nil {
-			s.record(wasabistand.EventConfigInForce, "parse", wasabistand.HeaderField{Name: "error", Value: err.Error()})
+			s.record(wasabistand.EventConfigRefused, "parse", wasabistand.HeaderField{Name: "Error", Value: err.Error()})
 		}
 		s.candidates.learn(s.state.controls(s.location().Region))
 		if !c.up {
 			c.up = true
 			s.candidates.serve(c.address)
-			s.record(wasabistand.EventSessionUp, "", wasabistand.HeaderField{Name: "control", Value: c.address})
+			s.record(wasabistand.EventSessionUp, "", wasabistand.HeaderField{Name: "Control", Value: c.address})
 		}
 		s.confirmed.Store(time.Now().UnixNano())
 		if changed {
 			if !s.state.broken {
-				s.record(wasabistand.EventConfigInForce, "", revisionField(u.GetRevision()))
+				s.record(wasabistand.EventConfigReceived, "", revisionField(u.GetRevision()))
 			}
 			// The renewal that tells of it goes out at once, so that Status
 			// does not lag behind by a renewal.
--- a/wasabisession/session.go
+++ b/wasabisession/session.go
@@ -163,7 +163,7 @@
 			return
 		}
 		s.candidates.fail(time.Now(), address, after)
-		s.record(wasabistand.EventSessionDown, reason, wasabistand.HeaderField{Name: "control", Value: address})
+		s.record(wasabistand.EventSessionDown, reason, wasabistand.HeaderField{Name: "Control", Value: address})
 	}
 }
 
--- a/wasabisession/session_test.go
+++ b/wasabisession/session_test.go
@@ -147,7 +147,7 @@
 	k, start = c.session()
 	assert.Equal(t, start.GetRevision(), uint64(5))
 	k.configure(t, &wasabistandv1.ConfigurationUpdate{Revision: 6, DocumentRevision: 6, Toml: "Callers = 1"})
-	for events.await(wasabistand.EventConfigInForce).Reason != "parse" {
+	for events.await(wasabistand.EventConfigRefused).Reason != "parse" {
 		continue
 	}
 	// The drain ended with revision 6; its document did not come into force.
--- a/wasabisession/state.go
+++ b/wasabisession/state.go
@@ -135,5 +135,5 @@
 }
 
 func revisionField(n uint64) wasabistand.HeaderField {
-	return wasabistand.HeaderField{Name: "revision", Value: strconv.FormatUint(n, 10)}
+	return wasabistand.HeaderField{Name: "Revision", Value: strconv.FormatUint(n, 10)}
 }
