Keep a call's stream open until the other node has read its answer

A node closed a stream one second after the last frame. yamux resets such a stream 10 s later, although the other node may still have up to 256 KiB to read for a slow caller, whose answer would be cut. The stream now stays until the other node closes it or the call's deadline.

--- a/wasabinode/stream.go
+++ b/wasabinode/stream.go
@@ -22,8 +22,10 @@
 // startTimeout bounds the wait for a stream's first frame.
 const startTimeout = 5 * time.Second
 
-// endTimeout bounds the wait for the other node to close a stream whose last
-// frame was sent: a link that closes earlier can lose that frame.
+// endTimeout is the least time for which the other node may keep a stream open
+// whose last frame was sent; it may do so until the call's deadline. A link
+// that closes earlier can lose that frame, and yamux resets a stream some time
+// after one end closed it, although the other has data left to read.
 const endTimeout = time.Second
 
 // serveStream serves one call of another node.
@@ -72,7 +74,7 @@
 	}
 	n.end(stream, n.serve(life, a, out, refusal))
 	body.close()
-	_ = stream.SetDeadline(time.Now().Add(endTimeout))
+	_ = stream.SetDeadline(time.Now().Add(max(a.deadline.Sub(n.now())+answerGrace, endTimeout)))
 	<-ended
 }
 
