--- a/wasabiraft/runner.go
+++ b/wasabiraft/runner.go
@@ -190,6 +190,10 @@
 
 func (r *Runner) loop() {
 	defer r.end()
+	// What the disk holds as committed is applied before anybody is heard.
+	if r.err = r.process(); r.err != nil {
+		return
+	}
 	timer := time.NewTimer(time.Until(r.replica.Next()))
 	defer timer.Stop()
 	for {
