Probe a member that refuses what it confirmed only at heartbeats

A trial run with the rule on storage identities switched off did not end: a member without the entries that the leader counted refused each probe, and each refusal sent the next one at once, more of them with each repeated message. A disk that lost synced data would do the same to a real group. Such refusals are now ignored until the next heartbeat.

There is no separate test for the number of messages.

--- a/wasabiraft/replicate.go
+++ b/wasabiraft/replicate.go
@@ -256,8 +256,11 @@
 		return
 	}
 	if m.GetRejected() {
-		if m.GetPreviousIndex() < p.match || p.probing && m.GetPreviousIndex() != p.next-1 {
-			return // answers an older message
+		if m.GetPreviousIndex() <= p.match || p.probing && m.GetPreviousIndex() != p.next-1 {
+			// Answers an older message. A disk that lost what it has synced
+			// would refuse its match too: it is asked again at each heartbeat
+			// and not at once, so that messages don't multiply.
+			return
 		}
 		p.probing, p.waiting, p.inflight = true, false, nil
 		p.next = max(p.match, min(m.GetMatchIndex(), m.GetPreviousIndex()-1, r.log.last())) + 1
