Send a frame by one system call, and keep an answer's type

Cause: yamux writes a frame's header and body apart, two calls and packets for each frame; an answer without a type got one by sniffing; event fields of nodes and groups were in lower case. Change: wasabilink holds a data header back until its body; the node sets no type that the upstream did not state; field names follow the house style.

--- a/wasabilink/link.go
+++ b/wasabilink/link.go
@@ -83,7 +83,7 @@
 	if client {
 		open = yamux.Client
 	}
-	session, err := open(conn, yamuxConfig(o))
+	session, err := open(newFrameConn(conn), yamuxConfig(o))
 	if err != nil {
 		_ = conn.Close()
 		return nil, Error.Wrap(err)
--- a/wasabinode/claim.go
+++ b/wasabinode/claim.go
@@ -92,7 +92,7 @@
 			case <-time.After(settlePause):
 			}
 		}
-		n.parts.Recorder.Record(wasabistand.Event{Kind: wasabistand.EventClaimSettled, Service: c.Service, Caller: c.Caller, Fields: []wasabistand.HeaderField{{Name: "outcome", Value: s.Outcome.String()}}})
+		n.parts.Recorder.Record(wasabistand.Event{Kind: wasabistand.EventClaimSettled, Service: c.Service, Caller: c.Caller, Fields: []wasabistand.HeaderField{{Name: "Outcome", Value: s.Outcome.String()}}})
 	})
 }
 
@@ -120,12 +120,20 @@
 	return wasabistand.Settlement{Outcome: wasabistand.Answered, Answer: &wasabistand.RecordedAnswer{Status: r.status, Headers: r.headers, Body: r.body, BodyOmitted: r.omitted}}
 }
 
+// keepType keeps net/http from adding a type that the upstream did not state.
+func keepType(h http.Header) {
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil
+	}
+}
+
 // replay answers a resend from the record.
 func replay(w http.ResponseWriter, r *http.Request, a *wasabistand.RecordedAnswer) {
 	h := w.Header()
 	for _, f := range a.Headers {
 		h.Add(f.Name, f.Value)
 	}
+	keepType(h)
 	h.Set(wasabiheader.Outcome, wasabistand.Answered.String())
 	h.Set(wasabiheader.Replayed, "true")
 	w.WriteHeader(a.Status)
--- a/wasabinode/record.go
+++ b/wasabinode/record.go
@@ -27,13 +27,13 @@
 func (n *Node) recordEntry(kind wasabistand.EventKind, c *incoming, reason wasabistand.Reason) {
 	n.parts.Recorder.Record(wasabistand.Event{
 		Kind: kind, RequestID: c.fields.Request, Service: c.kind.Service, Call: c.kind.Call, Caller: c.caller.Name, Reason: reason,
-		Fields: []wasabistand.HeaderField{{Name: "at", Value: "entry"}},
+		Fields: []wasabistand.HeaderField{{Name: "At", Value: "entry"}},
 	})
 }
 
 // refusedHere records a refusal of a call for the local upstream.
 func (n *Node) refusedHere(a *attempt, r *wasabistand.Refusal) {
-	n.record(wasabistand.EventCallRefused, a, r.Reason, "importance", a.importance.String())
+	n.record(wasabistand.EventCallRefused, a, r.Reason, "Importance", a.importance.String())
 	n.metrics.served(n.callLabel(a), a, r.Outcome.String(), r.Reason)
 }
 
@@ -75,11 +75,11 @@
 		default:
 		}
 	}
-	n.parts.Recorder.Record(wasabistand.Event{Kind: wasabistand.EventLimitChanged, Service: n.settings.service, Fields: []wasabistand.HeaderField{{Name: "limit", Value: strconv.Itoa(limit)}}})
+	n.parts.Recorder.Record(wasabistand.Event{Kind: wasabistand.EventLimitChanged, Service: n.settings.service, Fields: []wasabistand.HeaderField{{Name: "Limit", Value: strconv.Itoa(limit)}}})
 }
 
 func (n *Node) levelChanged(level wasabistand.Importance) {
-	n.parts.Recorder.Record(wasabistand.Event{Kind: wasabistand.EventLevelChanged, Service: n.settings.service, Fields: []wasabistand.HeaderField{{Name: "level", Value: level.String()}}})
+	n.parts.Recorder.Record(wasabistand.Event{Kind: wasabistand.EventLevelChanged, Service: n.settings.service, Fields: []wasabistand.HeaderField{{Name: "Level", Value: level.String()}}})
 }
 
 // reasons are the values that a reason from another node may have as a label.
--- a/wasabinode/route.go
+++ b/wasabinode/route.go
@@ -71,7 +71,7 @@
 		a.number++
 		tried = append(tried, instance.ID)
 		avoid = instance.Location.FailureDomain
-		n.record(wasabistand.EventCallRetried, a, last.refusal.Reason, "attempt", strconv.Itoa(a.number), "instead-of", instance.ID)
+		n.record(wasabistand.EventCallRetried, a, last.refusal.Reason, "Attempt", strconv.Itoa(a.number), "InsteadOf", instance.ID)
 		n.metrics.retry(c.kind, last.refusal.Reason)
 	}
 }
@@ -207,6 +207,7 @@
 	// than its patience.
 	control := http.NewResponseController(s.writer)
 	_ = control.SetWriteDeadline(time.Now().Add(s.call.deadline.Sub(s.node.now()) + answerGrace))
+	keepType(s.writer.Header())
 	s.writer.WriteHeader(status)
 	if s.flush {
 		return s.check(control.Flush())
--- a/wasabinode/serve.go
+++ b/wasabinode/serve.go
@@ -63,7 +63,7 @@
 		n.refusedHere(a, refusal)
 		return ending{refusal: refusal, unused: a.allowance}
 	}
-	n.record(wasabistand.EventCallAdmitted, a, "", "attempt", strconv.Itoa(a.number), "importance", a.importance.String())
+	n.record(wasabistand.EventCallAdmitted, a, "", "Attempt", strconv.Itoa(a.number), "Importance", a.importance.String())
 	call := &wasabicall.Call{RequestID: a.requestID, Caller: a.caller, Kind: a.kind, Importance: a.importance, Deadline: a.deadline, Allowance: n.parts.Allowance(a.allowance)}
 	n.calls.Add(call)
 	e := n.upstream.forward(running, a, call, s)
--- a/wasabinode/state.go
+++ b/wasabinode/state.go
@@ -47,7 +47,7 @@
 	n.budget.configure(v.Contracts.Retry)
 	n.gate.configure(n.parts.Admission, v.Contracts.Services[n.settings.service])
 	n.view.Store(&view{revision: v.Revision, contracts: v.Contracts, index: wasabiconfig.NewIndex(v.Contracts)})
-	n.parts.Recorder.Record(wasabistand.Event{Kind: wasabistand.EventConfigInForce, Fields: []wasabistand.HeaderField{{Name: "revision", Value: formatUint(v.Revision)}}})
+	n.parts.Recorder.Record(wasabistand.Event{Kind: wasabistand.EventConfigInForce, Fields: []wasabistand.HeaderField{{Name: "Revision", Value: formatUint(v.Revision)}}})
 	n.announce(func(i *wasabistand.Instance) { i.RevisionInForce = v.Revision })
 }
 
@@ -97,7 +97,7 @@
 	now := a.instance
 	a.mu.Unlock()
 	if now.State != before.State {
-		n.parts.Recorder.Record(wasabistand.Event{Kind: wasabistand.EventInstanceState, Fields: []wasabistand.HeaderField{{Name: "state", Value: now.State.String()}}})
+		n.parts.Recorder.Record(wasabistand.Event{Kind: wasabistand.EventInstanceState, Fields: []wasabistand.HeaderField{{Name: "State", Value: now.State.String()}}})
 	}
 	if n.parts.Changed != nil {
 		n.parts.Changed(now)
--- a/wasabiraft/runner.go
+++ b/wasabiraft/runner.go
@@ -349,7 +349,7 @@
 		return
 	}
 	r.leader.Store(&leaderInfo{id: id, address: address, term: r.replica.Term()})
-	r.record(wasabistand.EventGroupLeader, "leader", id)
+	r.record(wasabistand.EventGroupLeader, "Leader", id)
 	if r.replica.Role() != Leader {
 		r.dropWaiting(wasabistand.ErrUnknownOutcome.New("%s no longer leads", r.config.Self.ID))
 	}
@@ -360,7 +360,7 @@
 		return
 	}
 	r.config.Recorder.Record(wasabistand.Event{Kind: kind, Fields: []wasabistand.HeaderField{
-		{Name: name, Value: value}, {Name: "term", Value: fmt.Sprint(r.replica.Term())},
+		{Name: name, Value: value}, {Name: "Term", Value: fmt.Sprint(r.replica.Term())},
 	}})
 }
 
