Map the cold time of an upstream to its node

Cause: nodes announce a new upstream as cold for 10 s by default. The settings' ColdStart did not reach the node, and the demonstration's warm stand-ins waited 10 s, which takes it past its 60 s. Change: the daemon passes ColdStart on; the local systems set no cold time.

--- a/wasabidaemon/node.go
+++ b/wasabidaemon/node.go
@@ -81,7 +81,8 @@
 			WithCapacity(s.Upstream.Slots, s.Upstream.Connections).
 			WithDrainTime(s.Limits.DrainTime.Duration).
 			WithTimeouts(s.Limits.HeaderTimeout.Duration, s.Limits.BodyIdleTimeout.Duration, idleTimeout).
-			WithMaxHeaderBytes(s.Limits.MaxHeaderBytes).WithMaxOpenCalls(s.Limits.MaxOpenCalls),
+			WithMaxHeaderBytes(s.Limits.MaxHeaderBytes).WithMaxOpenCalls(s.Limits.MaxOpenCalls).
+			WithColdTime(s.Upstream.ColdStart.Duration),
 		parts); err != nil {
 		return err
 	}
--- a/wasabilocal/product.go
+++ b/wasabilocal/product.go
@@ -88,7 +88,7 @@
 	}
 	node, err := wasabinode.New(
 		wasabinode.NewSettings(w.Name, w.Service, w.Upstream.URL()).WithIncarnation(1).WithLocation(w.Location).
-			WithCapacity(c.Slots, c.Connections).WithMaxOpenCalls(20_000),
+			WithCapacity(c.Slots, c.Connections).WithMaxOpenCalls(20_000).WithColdTime(0),
 		parts)
 	if err != nil {
 		return err
