--- a/wasabinode/entry.go
+++ b/wasabinode/entry.go
@@ -99,6 +99,10 @@
 	wasabiheader.WriteRefusal(w, refusal, c.fields.Request, n.random())
 }
 
+// reserveShare is the part of a caller's patience, as one in so many, that is
+// kept for the way back of an answer.
+const reserveShare = 8
+
 // prepare finds the contracts of a call and checks it against them.
 func (n *Node) prepare(c *incoming, r *http.Request) *wasabistand.Refusal {
 	if c.view = n.snapshot(); c.view == nil {
@@ -135,6 +139,7 @@
 		c.allowance, c.importance = p.Allowance, p.Importance
 		return nil
 	}
+	c.deadline = c.deadline.Add(-min(patience/reserveShare, n.settings.answerReserve))
 	c.allowance, c.importance = n.parts.Allowance(retries), c.contract.Importance
 	if after := n.shares.take(c.started, c.view.account(c.caller.Name), c.caller); after > 0 {
 		return wasabistand.NewRefusal(wasabistand.ReasonCallerShare, fmt.Sprintf("caller %q: more than %g calls a second", c.caller.Name, c.caller.CallsPerSecond)).WithRetryAfter(after)
--- a/wasabinode/node_test.go
+++ b/wasabinode/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -127,3 +128,27 @@
 	m.refused(request(t, a, "GET", "a", "/read/x", "Wasabi-Caller", "greedy", "Wasabi-Request", "same"), 429, "not-run", "caller-share")
 	assert.Equal(t, m.do(request(t, a, "GET", "a", "/read/x")).status, 200)
 }
+
+// Guards against an upstream that works until the last moment of its caller's
+// patience, so that the answer comes too late, and against a type that the
+// upstream did not state.
+func TestAnswerHasTimeToReturn(t *testing.T) {
+	m := newMesh(t)
+	seen := make(chan string, 1)
+	m.add("b1", "b", func(w http.ResponseWriter, r *http.Request) {
+		seen <- r.Header.Get("Wasabi-Timeout")
+		w.Header()["Content-Type"] = nil
+		_, _ = io.WriteString(w, "text")
+	})
+	a := m.add("a1", "a", noCall)
+	m.ready()
+	for _, c := range []struct{ patience, most int }{{800, 700}, {5000, 4750}} {
+		answer := m.do(request(t, a, "GET", "b", "/read/x", "Wasabi-Timeout", strconv.Itoa(c.patience)))
+		assert.Equal(t, answer.status, http.StatusOK)
+		_, typed := answer.header["Content-Type"]
+		assert.Assert(t, !typed, "%v", answer.header)
+		left, err := strconv.Atoi(<-seen)
+		assert.NilError(t, err)
+		assert.Assert(t, left <= c.most, "%d ms of %d are left to the upstream", left, c.patience)
+	}
+}
--- a/wasabinode/settings.go
+++ b/wasabinode/settings.go
@@ -23,6 +23,7 @@
 	leaveTime       time.Duration
 	goAwayTime      time.Duration
 	claimTime       time.Duration
+	answerReserve   time.Duration
 	headerTimeout   time.Duration
 	bodyIdleTimeout time.Duration
 	idleTimeout     time.Duration
@@ -57,7 +58,10 @@
 		goAwayTime: 100 * time.Millisecond,
 		// A claim takes a few milliseconds within a region; one that takes
 		// longer than this is better refused than waited for.
-		claimTime:       250 * time.Millisecond,
+		claimTime: 250 * time.Millisecond,
+		// An upstream that finishes at the last moment of the caller's patience
+		// has worked for nothing: the answer still passes each hop and link.
+		answerReserve:   250 * time.Millisecond,
 		headerTimeout:   10 * time.Second,
 		bodyIdleTimeout: 30 * time.Second,
 		idleTimeout:     2 * time.Minute,
@@ -107,6 +111,10 @@
 // WithClaimTime returns a copy that waits at most d for a claim.
 func (s Settings) WithClaimTime(d time.Duration) Settings { s.claimTime = d; return s }
 
+// WithAnswerReserve returns a copy that ends the work for a request an eighth of
+// its caller's patience early, but at most d.
+func (s Settings) WithAnswerReserve(d time.Duration) Settings { s.answerReserve = d; return s }
+
 // WithTimeouts returns a copy with other bounds on reading a request's
 // headers, on silence within a body and on idle connections.
 func (s Settings) WithTimeouts(header, bodyIdle, idle time.Duration) Settings {
