Keep a test of the log from waiting for itself

Cause: TestIsolatedLeader took the test group's lock and then asked the runner for its status; when the runner's loop was sending, it waited for the same lock, and the test hung until its timeout.

--- a/wasabiraft/operate_test.go
+++ b/wasabiraft/operate_test.go
@@ -84,8 +84,10 @@
 	g := newGroup(t, 3, quick())
 	ctx := within(t)
 	l := g.leader(ctx)
+	// Status waits for the runner's loop, which takes the lock when it sends.
+	self := l.runner.Status().ID
 	g.mu.Lock()
-	g.silent[l.runner.Status().ID] = true
+	g.silent[self] = true
 	g.mu.Unlock()
 	_, err := l.runner.Propose(ctx, []byte("x"))
 	assert.Assert(t, wasabistand.ErrUnknownOutcome.Has(err), "%v", err)
