Tell a read without an answer from a command of unknown outcome

Cause: status without a quorum exited with the code for an unknown outcome, though it changes nothing. Change: only commands with an identity can have an unknown outcome. Result: TestReadHasNoUnknownOutcome fails before and passes after.

--- a/wasabioperator/client.go
+++ b/wasabioperator/client.go
@@ -108,6 +108,9 @@
 // them again after a lost answer acts once.
 func Call[Q, A any](ctx context.Context, c *Client, q *Q, method func(wasabistandv1connect.OperatorServiceClient) func(context.Context, *connect.Request[Q]) (*connect.Response[A], error)) (*A, error) {
 	var last error
+	_, changes := any(q).(interface {
+		GetCommand() *wasabistandv1.CommandIdentity
+	})
 	reached := false
 	for round := range c.options.rounds {
 		if round > 0 {
@@ -123,12 +126,15 @@
 				return answer, err
 			}
 			last = err
-			reached = reached || mayHaveReached(err)
+			reached = reached || changes && mayHaveReached(err)
 			if ctx.Err() != nil {
 				return nil, outcome(last, reached)
 			}
 		}
 	}
+	if !changes {
+		return nil, connect.NewError(connect.CodeUnavailable, fmt.Errorf("no control instance answered: %w", last))
+	}
 	return nil, outcome(last, reached)
 }
 
--- a/wasabioperator/client_test.go
+++ b/wasabioperator/client_test.go
@@ -82,6 +82,20 @@
 	assert.Assert(t, !strings.Contains(err.Error(), "outcome unknown"), "%v", err)
 }
 
+// Guards against an unknown outcome of a call that changes nothing.
+func TestReadHasNoUnknownOutcome(t *testing.T) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	s := httptest.NewServer(mux)
+	defer s.Close()
+	c, err := wasabioperator.New(wasabioperator.NewOptions(s.URL).WithRounds(1))
+	assert.NilError(t, err)
+	_, err = wasabioperator.Call(t.Context(), c, &wasabistandv1.StatusRequest{}, func(k wasabistandv1connect.OperatorServiceClient) func(context.Context, *connect.Request[wasabistandv1.StatusRequest]) (*connect.Response[wasabistandv1.StatusResponse], error) {
+		return k.Status
+	})
+	assert.Assert(t, err != nil && !strings.Contains(err.Error(), "outcome unknown"), "%v", err)
+}
+
 // Guards against trying other control instances with a command that lost.
 func TestConflictIsFinal(t *testing.T) {
 	var calls atomic.Int64
