--- a/wasabinode/gate.go
+++ b/wasabinode/admitter.go
@@ -10,9 +10,9 @@
 	"github.com/wasabistand/wasabistand"
 )
 
-// gate owns the admission and the limit of the upstream. One short-held mutex
+// admitter owns the admission and the limit of the upstream. One short-held mutex
 // guards both.
-type gate struct {
+type admitter struct {
 	now      func() time.Time
 	onLimit  func(limit int)
 	onLevel  func(level wasabistand.Importance)
@@ -42,8 +42,8 @@
 	beside  int // calls that ran when this one started, itself included
 }
 
-func newGate(now func() time.Time, slots int, limiters func(int) wasabistand.Limiter, admissions func(int) wasabistand.Admission) *gate {
-	g := &gate{now: now, limiters: limiters, slots: slots, calls: map[wasabistand.TicketID]*admitted{}}
+func newAdmitter(now func() time.Time, slots int, limiters func(int) wasabistand.Limiter, admissions func(int) wasabistand.Admission) *admitter {
+	g := &admitter{now: now, limiters: limiters, slots: slots, calls: map[wasabistand.TicketID]*admitted{}}
 	g.limiter = limiters(slots)
 	g.limit = g.limiter.Limit()
 	g.admission = admissions(g.limit)
@@ -54,7 +54,7 @@
 
 // enter waits until the call may run. The preempt function is called when the
 // call must give its slot up.
-func (g *gate) enter(ctx context.Context, t wasabistand.Ticket, preempt context.CancelCauseFunc) (*admitted, *wasabistand.Refusal) {
+func (g *admitter) enter(ctx context.Context, t wasabistand.Ticket, preempt context.CancelCauseFunc) (*admitted, *wasabistand.Refusal) {
 	c := &admitted{decided: make(chan wasabistand.Decision, 1), preempt: preempt}
 	g.mu.Lock()
 	g.next++
@@ -86,7 +86,7 @@
 	return nil, wasabistand.NewRefusal(wasabistand.ReasonCancelled, "cancelled in the queue")
 }
 
-func (g *gate) decided(c *admitted, d wasabistand.Decision) (*admitted, *wasabistand.Refusal) {
+func (g *admitter) decided(c *admitted, d wasabistand.Decision) (*admitted, *wasabistand.Refusal) {
 	if d.Verdict == wasabistand.Admit {
 		return c, nil
 	}
@@ -95,7 +95,7 @@
 
 // leave frees the slot of a call. own is its time in the upstream without its
 // outgoing calls.
-func (g *gate) leave(c *admitted, own time.Duration, failed bool) {
+func (g *admitter) leave(c *admitted, own time.Duration, failed bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.calls, c.id)
@@ -106,7 +106,7 @@
 }
 
 // abandon frees the slot of a call that never reached the upstream.
-func (g *gate) abandon(c *admitted) {
+func (g *admitter) abandon(c *admitted) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.calls, c.id)
@@ -115,7 +115,7 @@
 }
 
 // restart begins again with the limit of an upstream that has just started.
-func (g *gate) restart() {
+func (g *admitter) restart() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.limiter = g.limiters(g.slots)
@@ -124,7 +124,7 @@
 
 // configure replaces the admission when the service's queue is declared anew.
 // Calls that run or wait are offered to the new one.
-func (g *gate) configure(admissions func(int, wasabistand.Service) wasabistand.Admission, s wasabistand.Service) {
+func (g *admitter) configure(admissions func(int, wasabistand.Service) wasabistand.Admission, s wasabistand.Service) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if s.QueueLimit == g.service.QueueLimit && s.PreemptLesser == g.service.PreemptLesser {
@@ -150,21 +150,21 @@
 	}
 }
 
-func (g *gate) load() wasabistand.Load {
+func (g *admitter) load() wasabistand.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.admission.Load()
 }
 
 // close stops the timer. No call may be open.
-func (g *gate) close() {
+func (g *admitter) close() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.closed = true
 	g.timer.Stop()
 }
 
-func (g *gate) tick() {
+func (g *admitter) tick() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.closed {
@@ -174,7 +174,7 @@
 	g.apply(now, g.admission.Tick(now))
 }
 
-func (g *gate) setLimit(now time.Time, limit int) {
+func (g *admitter) setLimit(now time.Time, limit int) {
 	if limit == g.limit {
 		return
 	}
@@ -186,7 +186,7 @@
 }
 
 // apply hands decisions to their calls. The mutex is held.
-func (g *gate) apply(now time.Time, list []wasabistand.Decision) {
+func (g *admitter) apply(now time.Time, list []wasabistand.Decision) {
 	for _, d := range list {
 		c := g.calls[d.ID]
 		if c == nil {
--- a/wasabinode/door.go
+++ b/wasabinode/inflight.go
@@ -13,21 +13,21 @@
 // then callers have learned of other nodes.
 const leavingRetry = time.Second
 
-// door counts open calls, bounds them and refuses new ones of a leaving node.
-type door struct {
-	mu    sync.Mutex
-	max   int
-	open  int
-	shut  bool
-	empty chan struct{} // closed when the last call ends, nil unless awaited
+// inflight counts open calls, bounds them and refuses new ones of a leaving node.
+type inflight struct {
+	mu     sync.Mutex
+	max    int
+	open   int
+	closed bool
+	empty  chan struct{} // closed when the last call ends, nil unless awaited
 }
 
 // enter lets a call in. inside says that the call belongs to one that is
 // already open; such calls are let in until the end.
-func (d *door) enter(inside bool) *wasabistand.Refusal {
+func (d *inflight) enter(inside bool) *wasabistand.Refusal {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.shut && !inside {
+	if d.closed && !inside {
 		return wasabistand.NewRefusal(wasabistand.ReasonLeaving, "the node is leaving").WithRetryAfter(leavingRetry)
 	}
 	if d.open >= d.max {
@@ -37,7 +37,7 @@
 	return nil
 }
 
-func (d *door) leave() {
+func (d *inflight) leave() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.open--; d.open == 0 && d.empty != nil {
@@ -46,20 +46,20 @@
 	}
 }
 
-func (d *door) close() {
+func (d *inflight) close() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.shut = true
+	d.closed = true
 }
 
-func (d *door) count() int {
+func (d *inflight) count() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.open
 }
 
 // wait returns once no call is open, or with the context's error.
-func (d *door) wait(ctx context.Context) error {
+func (d *inflight) wait(ctx context.Context) error {
 	d.mu.Lock()
 	if d.open == 0 {
 		d.mu.Unlock()
--- a/wasabinode/metrics.go
+++ b/wasabinode/metrics.go
@@ -46,10 +46,10 @@
 	for _, c := range []prometheus.Collector{
 		m.calls, m.seconds, m.retries, m.upstream,
 		gauge("wasabistand_entry_calls_open", "Calls of callers that are open.", func() float64 { return float64(n.entering.count()) }),
-		gauge("wasabistand_upstream_calls_running", "Calls that the upstream runs.", func() float64 { return float64(n.gate.load().Running) }),
-		gauge("wasabistand_upstream_calls_waiting", "Calls that wait for the upstream.", func() float64 { return float64(n.gate.load().Waiting) }),
-		gauge("wasabistand_upstream_limit", "Calls that the upstream may run at once.", func() float64 { return float64(n.gate.load().Limit) }),
-		gauge("wasabistand_upstream_level", "The lowest importance that is not refused outright, 1 for Low.", func() float64 { return float64(n.gate.load().Level) }),
+		gauge("wasabistand_upstream_calls_running", "Calls that the upstream runs.", func() float64 { return float64(n.admitter.load().Running) }),
+		gauge("wasabistand_upstream_calls_waiting", "Calls that wait for the upstream.", func() float64 { return float64(n.admitter.load().Waiting) }),
+		gauge("wasabistand_upstream_limit", "Calls that the upstream may run at once.", func() float64 { return float64(n.admitter.load().Limit) }),
+		gauge("wasabistand_upstream_level", "The lowest importance that is not refused outright, 1 for Low.", func() float64 { return float64(n.admitter.load().Level) }),
 		gauge("wasabistand_configuration_revision", "The configuration in force, 0 for none.", func() float64 {
 			if v := n.snapshot(); v != nil {
 				return float64(v.revision)
--- a/wasabinode/node.go
+++ b/wasabinode/node.go
@@ -40,7 +40,7 @@
 	levels   *levels
 	router   *router
 	shares   *shares
-	gate     *gate
+	admitter *admitter
 	upstream *upstream
 	watch    *watch
 	metrics  *metrics
@@ -50,8 +50,8 @@
 	streams  atomic.Int64
 	budget   *budget
 
-	entering door
-	serving  door
+	entering inflight
+	serving  inflight
 
 	announced announcement
 
@@ -91,10 +91,10 @@
 	n.budget = &budget{make: p.Budget}
 	n.entering.max, n.serving.max = s.maxOpenCalls, s.maxOpenCalls
 	n.upstream = newUpstream(base, s.connections, n.now)
-	n.gate = newGate(n.now, s.slots, p.Limiter, func(limit int) wasabistand.Admission {
+	n.admitter = newAdmitter(n.now, s.slots, p.Limiter, func(limit int) wasabistand.Admission {
 		return p.Admission(limit, wasabistand.Service{Name: s.service})
 	})
-	n.gate.onLimit, n.gate.onLevel = n.limitChanged, n.levelChanged
+	n.admitter.onLimit, n.admitter.onLevel = n.limitChanged, n.levelChanged
 	n.watch = newWatch(n, base.Host)
 	if n.metrics, err = newMetrics(n, p.Registerer); err != nil {
 		return nil, Error.Wrap(err)
@@ -251,7 +251,7 @@
 		n.background.Wait()
 		n.upstream.close()
 	})
-	n.gate.close()
+	n.admitter.close()
 	return nil
 }
 
--- a/wasabinode/record.go
+++ b/wasabinode/record.go
@@ -67,7 +67,7 @@
 	n.metrics.served(n.callLabel(a), a, e.refusal.Outcome.String(), e.refusal.Reason)
 }
 
-// limitChanged is called with the gate's mutex held.
+// limitChanged is called with the admitter's mutex held.
 func (n *Node) limitChanged(limit int) {
 	if limit >= n.settings.slots {
 		select {
--- a/wasabinode/serve.go
+++ b/wasabinode/serve.go
@@ -53,10 +53,10 @@
 	defer preempt(nil)
 	ticket := wasabistand.Ticket{Caller: n.snapshot().account(a.caller), Importance: a.importance, Deadline: a.deadline, Cancellable: a.idempotent}
 	waiting, cancel := context.WithDeadline(ctx, a.deadline)
-	slot, refusal := n.gate.enter(waiting, ticket, preempt)
+	slot, refusal := n.admitter.enter(waiting, ticket, preempt)
 	cancel()
 	if refusal == nil && ctx.Err() != nil {
-		n.gate.abandon(slot)
+		n.admitter.abandon(slot)
 		refusal = wasabistand.NewRefusal(wasabistand.ReasonCancelled, "cancelled in the queue")
 	}
 	if refusal != nil {
@@ -88,18 +88,18 @@
 	n.watch.observe(reason)
 	switch reason {
 	case wasabistand.ReasonConnect, wasabistand.ReasonCancelled, wasabistand.ReasonPreempted, wasabistand.ReasonDeadline, wasabistand.ReasonBadRequest, wasabistand.ReasonTooLarge:
-		n.gate.abandon(slot)
+		n.admitter.abandon(slot)
 		return
 	}
 	now := n.now()
 	own := max(now.Sub(slot.started)-call.Below(now), 0)
 	n.needs.Ran(call.Kind)
-	n.gate.leave(slot, own, reason != "")
+	n.admitter.leave(slot, own, reason != "")
 }
 
 // load is what an answer to a kind of call tells of this instance.
 func (n *Node) load(k wasabistand.CallKind) wasabistand.Load {
-	l := n.gate.load()
+	l := n.admitter.load()
 	now := n.now()
 	l.LevelBelow = n.needs.Level(k, func(child wasabistand.CallKind) wasabistand.Importance {
 		return n.levels.level(now, child)
--- a/wasabinode/state.go
+++ b/wasabinode/state.go
@@ -45,7 +45,7 @@
 	}
 	n.router.configure(now, v.Contracts.Regions)
 	n.budget.configure(v.Contracts.Retry)
-	n.gate.configure(n.parts.Admission, v.Contracts.Services[n.settings.service])
+	n.admitter.configure(n.parts.Admission, v.Contracts.Services[n.settings.service])
 	n.view.Store(&view{revision: v.Revision, contracts: v.Contracts, index: wasabiconfig.NewIndex(v.Contracts)})
 	n.parts.Recorder.Record(wasabistand.Event{Kind: wasabistand.EventConfigInForce, Fields: []wasabistand.HeaderField{{Name: "Revision", Value: formatUint(v.Revision)}}})
 	n.announce(func(i *wasabistand.Instance) { i.RevisionInForce = v.Revision })
@@ -224,7 +224,7 @@
 	a.warm = a.warm && up
 	a.mu.Unlock()
 	if returned {
-		n.gate.restart()
+		n.admitter.restart()
 	}
 	n.announce(func(*wasabistand.Instance) {})
 }
