--- a/wasabioperator/client_test.go
+++ b/wasabioperator/client_test.go
@@ -52,19 +52,21 @@
 
 // Guards against a resend under another identity, which would act twice.
 func TestResendKeepsIdentity(t *testing.T) {
-	var first, second string
+	identities := make(chan string, 2)
 	a := serve(t, func(q *wasabistandv1.DrainRequest) (*wasabistandv1.DrainResponse, error) {
-		first = q.Command.Id
+		identities <- q.Command.Id
 		panic(http.ErrAbortHandler) // The answer is lost.
 	})
 	b := serve(t, func(q *wasabistandv1.DrainRequest) (*wasabistandv1.DrainResponse, error) {
-		second = q.Command.Id
+		identities <- q.Command.Id
 		return &wasabistandv1.DrainResponse{Revision: 7, Repeated: true}, nil
 	})
 	answer, err := drain(t, a, b)
 	assert.NilError(t, err)
 	assert.Equal(t, answer.Revision, uint64(7))
-	assert.Assert(t, first != "" && first == second)
+	first := <-identities
+	assert.Assert(t, first != "")
+	assert.Equal(t, <-identities, first)
 }
 
 // Guards against reporting "nothing was changed" when an earlier try may have
