Run routed requests on the users' platform

Cause: the product ran on its own stand-ins only. It had no routes by host and path, no control group that forms itself, and no adapter. Change: routes, client limits and upstream contracts in the configuration; operator-numbered revisions that identify a command; a gateway for routed requests with its own HTTP/1.1 edges, placement, retry budget and instance tracker; control groups that take in and replace members; platform/ with the settings, manifest, heartbeats and operator's calls; the deploy file. The new packages have no tests of their own yet.

--- a/call.go
+++ b/call.go
@@ -141,6 +141,9 @@
 	Waiting    int
 	Limit      int
 	Leaving    bool
+	// Service is the mean time of a call in the upstream lately, 0 when
+	// unknown.
+	Service time.Duration
 }
 
 // Sample is one finished call as a limiter sees it.
--- a/contract.go
+++ b/contract.go
@@ -11,6 +11,13 @@
 	Callers map[string]Caller
 	Retry   RetryContract
 	Regions []RegionLink
+	// Hosts hold the routes, for callers that name host and path only.
+	Hosts []Host
+	// Upstreams by service, for the services of routes.
+	Upstreams map[string]UpstreamContract
+	Clients   ClientLimits
+	// Annotation is text that is kept with the document and not interpreted.
+	Annotation string
 }
 
 // DefaultCaller is the name of the contract for callers that are not listed.
--- /dev/null
+++ b/internal/process/wasabimesh/node.go
@@ -0,0 +1,199 @@
+// Package wasabimesh assembles the processes of a deployment that routes by
+// host and path: the node beside an instance, and the control instance of a
+// group that forms itself. It decides nothing.
+package wasabimesh
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/wasabistand/wasabistand"
+	"github.com/wasabistand/wasabistand/internal/policy/wasabiplace"
+	"github.com/wasabistand/wasabistand/internal/traffic/wasabigateway"
+	"github.com/wasabistand/wasabistand/wasabiadmission"
+	"github.com/wasabistand/wasabistand/wasabilink"
+	"github.com/wasabistand/wasabistand/wasabiprocess"
+	"github.com/wasabistand/wasabistand/wasabisession"
+)
+
+// Times of links. A silent peer is left before a caller's usual patience ends,
+// and pings stay rare against the calls.
+const (
+	linkPing    = 500 * time.Millisecond
+	linkSuspect = time.Second
+	linkSilent  = 1500 * time.Millisecond
+	linkIdle    = 10 * time.Second
+	linkUnused  = time.Minute
+)
+
+// serverTimeout bounds one call to a node's own interfaces.
+const serverTimeout = 10 * time.Second
+
+// Node is the settings of a node: an immutable value.
+type Node struct {
+	Cluster  string
+	Gateway  wasabigateway.Settings
+	Instance string
+	// Callers, Link, Ready and Reports are where the node listens.
+	Callers, Link, Ready, Reports string
+	// Controls are link addresses of some control instances.
+	Controls []string
+	Location wasabistand.Location
+}
+
+// Handlers are what a node serves besides traffic.
+type Handlers struct {
+	Ready   http.Handler
+	Reports http.Handler
+}
+
+// NodeDaemon is a node as a daemon.
+type NodeDaemon struct {
+	settings Node
+	log      zerolog.Logger
+	handlers func(*wasabigateway.Gateway) Handlers
+
+	pool    *wasabilink.Pool
+	session *wasabisession.Session
+	gateway *wasabigateway.Gateway
+	servers []*http.Server
+}
+
+var _ wasabiprocess.Daemon = (*NodeDaemon)(nil)
+
+// NewNode returns a node that has not started. handlers makes what it serves
+// besides traffic.
+func NewNode(s Node, log zerolog.Logger, handlers func(*wasabigateway.Gateway) Handlers) *NodeDaemon {
+	return &NodeDaemon{settings: s, log: log, handlers: handlers}
+}
+
+// Start implements wasabiprocess.Daemon.
+func (n *NodeDaemon) Start(context.Context) error {
+	s := n.settings
+	// The wall clock makes the incarnation rise with each start without a disk.
+	incarnation := uint64(time.Now().UnixNano())
+	links := linkOptions(s.Cluster, s.Instance, incarnation, n.log)
+	link, err := net.Listen("tcp", s.Link)
+	if err != nil {
+		return err
+	}
+	callers, err := net.Listen("tcp", s.Callers)
+	if err != nil {
+		return errors.Join(err, link.Close())
+	}
+	n.gateway, err = wasabigateway.New(s.Gateway, wasabigateway.Parts{
+		Directory: directory{n}, Announce: func(i wasabistand.Instance) { n.session.Announce(i) },
+		Link: links, Listener: link, Callers: callers, Log: n.log,
+		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Place: wasabiplace.NewOptions(),
+		Admission: func(slots, queue int) wasabistand.Admission {
+			return wasabiadmission.New(wasabiadmission.NewOptions().WithLimit(slots).WithQueueLimit(queue))
+		},
+		Incarnation: incarnation,
+	})
+	if err != nil {
+		return errors.Join(err, link.Close(), callers.Close())
+	}
+	n.pool = wasabilink.NewPool(links, nil)
+	n.session = wasabisession.New(sessionOptions(s.Controls), n.pool, n.gateway.Self(), recorder{n.log})
+	n.gateway.Start()
+	h := n.handlers(n.gateway)
+	for address, handler := range map[string]http.Handler{s.Ready: h.Ready, s.Reports: h.Reports} {
+		server, err := serve(address, handler, n.log)
+		if err != nil {
+			return err
+		}
+		n.servers = append(n.servers, server)
+	}
+	return nil
+}
+
+func sessionOptions(controls []string) wasabisession.Options {
+	return wasabisession.NewOptions(controls...).
+		WithRenewal(time.Second, 2500*time.Millisecond).
+		WithBackoff(100*time.Millisecond, 200*time.Millisecond, time.Second).
+		WithAnswerTimeout(1500 * time.Millisecond)
+}
+
+func linkOptions(cluster, instance string, incarnation uint64, log zerolog.Logger) wasabilink.Options {
+	return wasabilink.NewOptions(cluster, instance, incarnation).
+		WithHeartbeat(linkPing, linkSuspect, linkSilent).WithIdle(linkIdle, linkUnused).
+		WithOnSilent(func(address string) { log.Warn().Str("Address", address).Msg("link silent") })
+}
+
+// serve starts an HTTP server of a node's own interfaces.
+func serve(address string, h http.Handler, log zerolog.Logger) (*http.Server, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	server := &http.Server{Handler: h, ReadTimeout: serverTimeout, WriteTimeout: serverTimeout, IdleTimeout: time.Minute}
+	go func() {
+		if err := server.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			log.Error().Str("Address", address).Err(err).Msg("interface ended")
+		}
+	}()
+	return server, nil
+}
+
+// directory defers to the session, which is made after the gateway.
+type directory struct{ n *NodeDaemon }
+
+// View implements wasabistand.Directory.
+func (d directory) View() *wasabistand.View { return d.n.session.View() }
+
+// Interest implements wasabistand.Directory.
+func (d directory) Interest(service string) { d.n.session.Interest(service) }
+
+// Changed implements wasabistand.Directory.
+func (d directory) Changed() <-chan struct{} { return d.n.session.Changed() }
+
+// String names the implementation.
+func (d directory) String() string { return "session" }
+
+// SetControls replaces the addresses at which control is looked for.
+func (n *NodeDaemon) SetControls(list ...string) { n.session.SetControls(list...) }
+
+// Shutdown implements wasabiprocess.Daemon.
+func (n *NodeDaemon) Shutdown(ctx context.Context) error {
+	n.gateway.Shutdown(ctx)
+	return nil
+}
+
+// Close implements wasabiprocess.Daemon.
+func (n *NodeDaemon) Close() error {
+	var list []error
+	if n.gateway != nil {
+		list = append(list, n.gateway.Close())
+	}
+	for _, s := range n.servers {
+		list = append(list, s.Close())
+	}
+	if n.session != nil {
+		list = append(list, n.session.Close(), n.pool.Close())
+	}
+	return errors.Join(list...)
+}
+
+// String returns the instance.
+func (n *NodeDaemon) String() string { return "node " + n.settings.Instance }
+
+// recorder writes events as log lines.
+type recorder struct{ log zerolog.Logger }
+
+// Record implements wasabistand.Recorder.
+func (r recorder) Record(e wasabistand.Event) {
+	l := r.log.Info().Str("Reason", string(e.Reason))
+	for _, f := range e.Fields {
+		l = l.Str(f.Name, f.Value)
+	}
+	l.Msg(string(e.Kind))
+}
+
+// String names the implementation.
+func (r recorder) String() string { return "log" }
--- /dev/null
+++ b/internal/traffic/wasabigateway/enter.go
@@ -0,0 +1,360 @@
+package wasabigateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/wasabistand/wasabistand"
+	"github.com/wasabistand/wasabistand/internal/edge/wasabihttp"
+	"github.com/wasabistand/wasabistand/internal/policy/wasabimatch"
+	"github.com/wasabistand/wasabistand/internal/policy/wasabiplace"
+)
+
+// Times after which a refused caller may come again.
+const (
+	// retryNotReady covers the start of a session with control.
+	retryNotReady = 300 * time.Millisecond
+	// retryDefault stands where a refusal says nothing.
+	retryDefault = 200 * time.Millisecond
+	maxRetry     = 10 * time.Second
+)
+
+// request is a caller's request at its entry.
+type request struct {
+	x        *wasabihttp.Exchange
+	id       string
+	route    *wasabistand.Route
+	service  string
+	deadline time.Time
+	attempt  attempt
+	tried    []string
+	arrived  int
+	refused  int
+	// uncertain says that an earlier attempt may have run.
+	uncertain bool
+}
+
+// enter serves one request of a caller, or of the own instance.
+func (g *Gateway) enter(ctx context.Context, x *wasabihttp.Exchange) {
+	g.entering.Add(1)
+	defer g.entering.Add(-1)
+	q := &request{x: x, id: x.Request.Header.Get(g.settings.headers.RequestID)}
+	if status, why := g.prepare(q); why != nil {
+		g.reply(q, status, why)
+		return
+	}
+	body, why := g.readBody(ctx, q)
+	if why != nil {
+		status := http.StatusServiceUnavailable
+		if why.Reason == wasabistand.ReasonTooLarge {
+			status = http.StatusRequestEntityTooLarge
+		}
+		g.reply(q, status, why)
+		return
+	}
+	defer g.held.Add(-body)
+	out := g.attempts(ctx, q)
+	defer out.answer.end()
+	if out.answer != nil {
+		g.deliver(q, out)
+		return
+	}
+	g.reply(q, statusOf(out.refusal), out.refusal)
+}
+
+// statusOf returns the status of an answer of the node's own. 503 promises
+// that the request did not run and will not.
+func statusOf(r *wasabistand.Refusal) int {
+	switch {
+	case r.Outcome == wasabistand.NotRun:
+		return http.StatusServiceUnavailable
+	case r.Reason == wasabistand.ReasonTimeout:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
+
+// prepare finds the route of a request and its deadline. A refusal comes with
+// its status.
+func (g *Gateway) prepare(q *request) (int, *wasabistand.Refusal) {
+	r := q.x.Request
+	c := g.config.Load()
+	if c == nil {
+		return http.StatusServiceUnavailable, wasabistand.NewRefusal(wasabistand.ReasonNotReady, "no configuration is confirmed yet").WithRetryAfter(retryNotReady)
+	}
+	target := r.RequestURI
+	if r.URL.Host != "" {
+		target = r.URL.RequestURI()
+	}
+	var ok bool
+	if q.route, ok = c.table.Find(r.Host, target); !ok {
+		return http.StatusNotFound, wasabistand.NewRefusal(wasabistand.ReasonUnknownCall, fmt.Sprintf("host %.64q, path %.64q: no route of revision %d", r.Host, target, c.revision))
+	}
+	patience := q.route.Timeout
+	if v := r.Header.Get(g.settings.headers.Timeout); v != "" {
+		ms, err := strconv.ParseInt(v, 10, 64)
+		if err != nil {
+			return http.StatusBadRequest, wasabistand.NewRefusal(wasabistand.ReasonBadRequest, fmt.Sprintf("%s: %.32q, allowed is a whole number of milliseconds", g.settings.headers.Timeout, v))
+		}
+		if ms <= 0 {
+			return http.StatusServiceUnavailable, wasabistand.NewRefusal(wasabistand.ReasonDeadline, "the patience has ended")
+		}
+		if d := time.Duration(ms) * time.Millisecond; ms < int64(patience/time.Millisecond)+1 && d < patience {
+			patience = d
+		}
+	}
+	now := g.now()
+	q.deadline = now.Add(patience)
+	g.mu.Lock()
+	s := g.spread[q.route.Name]
+	if len(q.route.Split) > 1 && s == nil {
+		s = wasabimatch.NewSpread(g.parts.Random.Float64())
+		g.spread[q.route.Name] = s
+	}
+	at := 0.0
+	if s != nil {
+		at = s.Next()
+	}
+	q.service = wasabimatch.Choose(q.route, at)
+	g.budget.Request(now, q.service)
+	known := g.placer.Known(q.service)
+	g.mu.Unlock()
+	if !known {
+		g.learn(q)
+	}
+	q.attempt = attempt{
+		requestID: q.id, service: q.service, route: q.route.Name, origin: g.settings.service,
+		method: r.Method, target: target, headers: endToEnd(r.Header), host: r.Host,
+		deadline: q.deadline, objective: now.Add(q.route.Objective), importance: q.route.Importance,
+		repeatable: q.route.Kind.Repeatable(), revision: c.revision, length: r.ContentLength,
+	}
+	return 0, nil
+}
+
+// learn waits until control has told of the instances of a service.
+func (g *Gateway) learn(q *request) {
+	g.parts.Directory.Interest(q.service)
+	limit := time.NewTimer(min(g.settings.firstUse, time.Until(q.deadline)))
+	defer limit.Stop()
+	for {
+		changed := g.parts.Directory.Changed()
+		g.update(g.parts.Directory.View())
+		g.mu.Lock()
+		known := g.placer.Known(q.service)
+		g.mu.Unlock()
+		if known {
+			return
+		}
+		select {
+		case <-changed:
+		case <-limit.C:
+			return
+		case <-g.life.Done():
+			return
+		}
+	}
+}
+
+// readBody reads a body as far as it is held, so that it can be sent again.
+func (g *Gateway) readBody(ctx context.Context, q *request) (int64, *wasabistand.Refusal) {
+	src := q.x.Body()
+	if src == nil {
+		return 0, nil
+	}
+	stop := context.AfterFunc(ctx, q.x.StopBody)
+	defer stop()
+	timer := time.AfterFunc(time.Until(q.deadline), q.x.StopBody)
+	defer timer.Stop()
+	most := g.settings.bodyBytes
+	size := int64(4 << 10)
+	if n := q.x.Request.ContentLength; n > 0 {
+		size = min(n+1, most)
+	}
+	if g.held.Add(size) > g.settings.bufferBytes {
+		g.held.Add(-size)
+		return 0, wasabistand.NewRefusal(wasabistand.ReasonQueueFull, "too many bytes of bodies are held").WithRetryAfter(retryDefault)
+	}
+	body := make([]byte, 0, size)
+	for {
+		if int64(len(body)) >= most {
+			q.attempt.body, q.attempt.rest = body, src
+			return size, nil
+		}
+		if len(body) == cap(body) {
+			grown := min(int64(2*cap(body)), most)
+			g.held.Add(grown - size)
+			size = grown
+			body = append(make([]byte, 0, grown), body...)
+		}
+		n, err := src.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err == io.EOF {
+			q.attempt.body, q.attempt.length = body, int64(len(body))
+			return size, nil
+		}
+		if err != nil {
+			g.held.Add(-size)
+			if errors.Is(err, wasabihttp.ErrBodyLarge) {
+				return 0, wasabistand.NewRefusal(wasabistand.ReasonTooLarge, err.Error())
+			}
+			return 0, wasabistand.NewRefusal(wasabistand.ReasonDeadline, "the body did not come: "+err.Error())
+		}
+	}
+}
+
+// attempts sends a request to one instance after another until one answers or
+// the rules allow no further attempt.
+func (g *Gateway) attempts(ctx context.Context, q *request) outcome {
+	last := outcome{}
+	for {
+		choice, refusal := g.pick(q)
+		if refusal != nil {
+			if last.refusal == nil {
+				last = outcome{refusal: refusal}
+			}
+			return q.certain(last)
+		}
+		a := q.attempt
+		a.number = len(q.tried)
+		var out outcome
+		if choice.ID == g.settings.instance {
+			out = g.run(ctx, &a)
+		} else {
+			out = g.send(ctx, choice.LinkAddress, &a)
+		}
+		g.learned(q, choice, out)
+		if out.answer != nil {
+			return out
+		}
+		last = out
+		q.tried = append(q.tried, choice.ID)
+		if out.arrived {
+			q.arrived++
+		} else {
+			q.refused++
+		}
+		q.uncertain = q.uncertain || out.refusal.Outcome != wasabistand.NotRun
+		if !g.again(ctx, q, out) {
+			return q.certain(out)
+		}
+		g.note("again", &a, out)
+	}
+}
+
+// certain returns how a request ended whose earlier attempts may have run.
+func (q *request) certain(o outcome) outcome {
+	if q.uncertain && o.refusal.Outcome == wasabistand.NotRun {
+		r := *o.refusal
+		r.Outcome = wasabistand.Unknown
+		o.refusal = &r
+	}
+	return o
+}
+
+func (g *Gateway) pick(q *request) (wasabistand.Instance, *wasabistand.Refusal) {
+	now := g.now()
+	if !now.Before(q.deadline) {
+		return wasabistand.Instance{}, wasabistand.NewRefusal(wasabistand.ReasonDeadline, "the patience ended")
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c, err := g.placer.Pick(now, wasabiplace.Query{
+		Service: q.service, Exclude: q.tried, Once: !q.attempt.repeatable, Remaining: q.deadline.Sub(now),
+	})
+	if err != nil {
+		var refusal *wasabistand.Refusal
+		if !errors.As(err, &refusal) {
+			refusal = wasabistand.NewRefusal(wasabistand.ReasonNoInstance, err.Error())
+		}
+		return wasabistand.Instance{}, refusal.WithRetryAfter(retryDefault)
+	}
+	return c.Instance, nil
+}
+
+// learned records how an attempt ended for the placement.
+func (g *Gateway) learned(q *request, i wasabistand.Instance, out outcome) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.placer.Done(g.now(), q.service, i.ID, wasabiplace.Result{
+		Failed: out.faulty, Down: out.down, Refused: out.refusal != nil && out.refusal.Outcome == wasabistand.NotRun && !out.faulty,
+		Service: out.took, Load: out.load,
+	})
+}
+
+// again reports whether a request may be sent to another instance, and pays
+// for it.
+func (g *Gateway) again(ctx context.Context, q *request, out outcome) bool {
+	r := out.refusal
+	now := g.now()
+	switch {
+	case ctx.Err() != nil, !now.Before(q.deadline), q.attempt.rest != nil && out.arrived:
+		return false
+	case r.Outcome != wasabistand.NotRun && !q.attempt.repeatable:
+		return false
+	case r.Reason == wasabistand.ReasonBadRequest, r.Reason == wasabistand.ReasonCancelled, r.Reason == wasabistand.ReasonTimeout:
+		return false
+	}
+	if !out.arrived {
+		return q.refused < g.settings.maxPlacements
+	}
+	if q.arrived >= q.route.MaxAttempts {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budget.Repeat(now, q.service)
+}
+
+// deliver writes an upstream's answer to the caller.
+func (g *Gateway) deliver(q *request, out outcome) {
+	ans := out.answer
+	g.note("answered", &q.attempt, out)
+	if ans.rest == nil {
+		_ = q.x.Answer(ans.status, ans.headers, ans.body)
+		return
+	}
+	if q.x.Begin(ans.status, ans.headers, ans.length) != nil {
+		return
+	}
+	if _, err := q.x.Write(ans.body); err != nil {
+		return
+	}
+	p := chunks.Get().(*[]byte)
+	defer chunks.Put(p)
+	for {
+		n, err := ans.rest.Read(*p)
+		if n > 0 {
+			if _, werr := q.x.Write((*p)[:n]); werr != nil {
+				return
+			}
+		}
+		if err == io.EOF {
+			_ = q.x.End()
+			return
+		}
+		if err != nil {
+			g.note("cut", &q.attempt, unknown(wasabistand.ReasonCut, err.Error()))
+			q.x.Abort()
+			return
+		}
+	}
+}
+
+// reply writes an answer of the node's own.
+func (g *Gateway) reply(q *request, status int, r *wasabistand.Refusal) {
+	h := g.refusalHeader(q.id)
+	if status == http.StatusServiceUnavailable {
+		after := r.RetryAfter
+		if after <= 0 {
+			after = retryDefault
+		}
+		h["Retry-After"] = []string{strconv.FormatFloat(min(after, maxRetry).Seconds(), 'f', 3, 64)}
+	}
+	g.journal.refused(q, status, r)
+	_ = q.x.Answer(status, h, []byte(r.Error()+"\n"))
+}
--- /dev/null
+++ b/internal/traffic/wasabigateway/serve.go
@@ -0,0 +1,168 @@
+package wasabigateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"golang.org/x/net/http/httpguts"
+
+	"github.com/wasabistand/wasabistand"
+	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
+	"github.com/wasabistand/wasabistand/wasabilink"
+	"github.com/wasabistand/wasabistand/wasabiwire"
+)
+
+const (
+	// startTimeout bounds the wait for a stream's first frame.
+	startTimeout = 5 * time.Second
+	// maxTimeout bounds what another node may ask for.
+	maxTimeout = time.Hour
+	// endTimeout is how long the other node may take to read the last frame
+	// before the stream is given up.
+	endTimeout = 5 * time.Second
+)
+
+// serveStream serves one attempt of another node.
+func (g *Gateway) serveStream(ctx context.Context, kind wasabistandv1.StreamOpen_Kind, stream *wasabilink.Stream) {
+	if kind != wasabistandv1.StreamOpen_KIND_ROUTED {
+		return
+	}
+	_ = stream.SetDeadline(time.Now().Add(startTimeout))
+	var frame wasabistandv1.CallFrame
+	if stream.Receive(&frame) != nil {
+		return
+	}
+	_ = stream.SetDeadline(time.Time{})
+	m := frame.GetStart()
+	if m == nil {
+		return
+	}
+	g.running.Add(1)
+	defer g.running.Add(-1)
+	a, err := toAttempt(m, g.now())
+	if err != nil {
+		g.finish(stream, notRun(wasabistand.ReasonBadRequest, err.Error()))
+		return
+	}
+	gone, cancel := context.WithCancel(g.life)
+	defer cancel()
+	closed := make(chan struct{})
+	if m.GetWhole() {
+		// Nothing more comes but the end of the stream.
+		go func() {
+			defer close(closed)
+			var more wasabistandv1.CallFrame
+			_ = stream.Receive(&more)
+			cancel()
+		}()
+	} else {
+		close(closed)
+		a.rest = &frameReader{stream: stream, total: uint64(len(a.body))}
+	}
+	out := g.run(gone, a)
+	g.note("served", a, out)
+	g.finish(stream, out)
+	_ = stream.SetDeadline(time.Now().Add(endTimeout))
+	if a.rest != nil {
+		var more wasabistandv1.CallFrame
+		for stream.Receive(&more) == nil {
+			continue
+		}
+	}
+	<-closed
+}
+
+// finish sends how an attempt ended.
+func (g *Gateway) finish(stream *wasabilink.Stream, out outcome) {
+	if r := out.refusal; r != nil {
+		m := &wasabistandv1.CallRefusal{
+			Outcome: wasabistandv1.CallRefusal_OUTCOME_UNKNOWN, Reason: string(r.Reason), Detail: short(r.Detail),
+			RetryAfterMs: uint32(min(max(r.RetryAfter.Milliseconds(), 0), 3_600_000)), Arrived: out.arrived, Faulty: out.faulty,
+		}
+		if r.Outcome == wasabistand.NotRun {
+			m.Outcome = wasabistandv1.CallRefusal_OUTCOME_NOT_RUN
+		}
+		if out.load != nil {
+			m.Load = wasabiwire.FromLoad(*out.load)
+		}
+		_ = stream.Send(&wasabistandv1.CallFrame{Kind: &wasabistandv1.CallFrame_Refusal{Refusal: m}})
+		return
+	}
+	ans := out.answer
+	defer ans.end()
+	m := &wasabistandv1.CallAnswer{
+		Status: uint32(ans.status), ContentLength: ans.length, Body: ans.body, Whole: ans.rest == nil, ServiceUs: uint64(out.took.Microseconds()),
+	}
+	for name, values := range ans.headers {
+		for _, v := range values {
+			m.Headers = append(m.Headers, &wasabistandv1.Header{Name: name, Value: v})
+		}
+	}
+	if out.load != nil {
+		m.Load = wasabiwire.FromLoad(*out.load)
+	}
+	if stream.Send(&wasabistandv1.CallFrame{Kind: &wasabistandv1.CallFrame_Answer{Answer: m}}) != nil || ans.rest == nil {
+		return
+	}
+	total := uint64(len(ans.body))
+	p := chunks.Get().(*[]byte)
+	defer chunks.Put(p)
+	for {
+		n, err := ans.rest.Read(*p)
+		if n > 0 {
+			total += uint64(n)
+			if stream.Send(&wasabistandv1.CallFrame{Kind: &wasabistandv1.CallFrame_Body{Body: (*p)[:n]}}) != nil {
+				return
+			}
+		}
+		if err == io.EOF {
+			_ = stream.Send(endFrame(total, out.load))
+			return
+		}
+		if err != nil {
+			// The stream ends without an end frame: the answer was cut.
+			return
+		}
+	}
+}
+
+const maxDetail = 200
+
+func short(s string) string { return s[:min(len(s), maxDetail)] }
+
+// toAttempt checks an attempt of another node.
+func toAttempt(m *wasabistandv1.CallStart, now time.Time) (*attempt, error) {
+	if !strings.HasPrefix(m.GetPath(), "/") || strings.ContainsAny(m.GetPath(), " \r\n\x00") {
+		return nil, wasabistand.ErrInvalid.New("path: %.64q, allowed is an absolute path with query", m.GetPath())
+	}
+	if !httpguts.ValidHeaderFieldName(m.GetMethod()) {
+		return nil, wasabistand.ErrInvalid.New("method: %.32q, allowed is an HTTP token", m.GetMethod())
+	}
+	if m.GetContentLength() < -1 {
+		return nil, wasabistand.ErrInvalid.New("content_length: %d, allowed are -1 and above", m.GetContentLength())
+	}
+	timeout := time.Duration(min(m.GetTimeoutUs(), uint64(maxTimeout/time.Microsecond))) * time.Microsecond
+	a := &attempt{
+		requestID: m.GetRequestId(), service: m.GetService(), route: m.GetCall(), origin: m.GetCaller(),
+		method: m.GetMethod(), target: m.GetPath(), deadline: now.Add(timeout),
+		objective:  now.Add(time.Duration(m.GetObjectiveUs()) * time.Microsecond),
+		importance: wasabiwire.ToImportance(m.GetImportance()), repeatable: m.GetIdempotent(),
+		number: int(m.GetAttempt()), revision: m.GetRevision(), length: m.GetContentLength(), body: m.GetBody(),
+	}
+	for _, h := range m.GetHeaders() {
+		name := http.CanonicalHeaderKey(h.GetName())
+		if !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(h.GetValue()) {
+			return nil, wasabistand.ErrInvalid.New("headers: %.64q, allowed are HTTP fields", h.GetName())
+		}
+		switch {
+		case name == "Host":
+			a.host = h.GetValue()
+		case !hopByHop[name]:
+			a.headers = append(a.headers, wasabistand.HeaderField{Name: name, Value: h.GetValue()})
+		}
+	}
+	return a, nil
+}
--- a/wasabiconfig/config.go
+++ b/wasabiconfig/config.go
@@ -37,10 +37,14 @@
 )
 
 type document struct {
-	Retry    *retry
-	Regions  []region
-	Callers  []caller
-	Services []service
+	Annotation string
+	Retry      *retry
+	Clients    *clients
+	Regions    []region
+	Callers    []caller
+	Services   []service
+	Upstreams  []upstream
+	Hosts      []host
 }
 
 type retry struct {
@@ -87,6 +91,11 @@
 		Services: map[string]wasabistand.Service{},
 		Callers:  map[string]wasabistand.Caller{wasabistand.DefaultCaller: {Name: wasabistand.DefaultCaller, Patience: defaultPatience}},
 		Retry:    wasabistand.RetryContract{PerRequest: defaultRetries, SharePercent: defaultSharePercent, MinPerSecond: defaultMinPerSecond},
+		Clients: wasabistand.ClientLimits{
+			MaxHeaderBytes: defaultMaxHeaderBytes, MaxBodyBytes: defaultMaxBodyBytes,
+			HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
+		},
+		Upstreams: map[string]wasabistand.UpstreamContract{},
 	}
 }
 
@@ -111,6 +120,10 @@
 	readRegions(d, doc.Regions, c)
 	readCallers(d, doc.Callers, c)
 	readServices(d, doc.Services, c)
+	c.Annotation = doc.Annotation
+	readClients(d, doc.Clients, &c.Clients)
+	readUpstreams(d, doc.Upstreams, c)
+	readHosts(d, doc.Hosts, c)
 	if err := d.Err(); err != nil {
 		return nil, err
 	}
--- a/wasabicontrol/group.go
+++ b/wasabicontrol/group.go
@@ -35,12 +35,19 @@
 	}
 	// Replicas must start alike: the settings' limits come by a command of the
 	// leader, since settings may differ between instances.
-	out := &group{settings: g, machine: newMachine(wasabistate.NewOptions(), changed), transport: newTransport(s.cluster, g.Name, p)}
+	options := wasabistate.NewOptions()
+	if s.revisions > 0 {
+		options = options.WithRevisions(s.revisions, s.revisionBytes)
+	}
+	out := &group{settings: g, machine: newMachine(options, changed), transport: newTransport(s.cluster, g.Name, p)}
 	var list []*wasabistandv1.Member
 	for _, m := range g.Members {
 		list = append(list, &wasabistandv1.Member{Id: m.ID, Address: m.Address})
 	}
 	raft.MaxCommandBytes = maxCommandBytes
+	if s.losses > 0 {
+		raft.MaxVoters = 2*s.losses + 1
+	}
 	out.runner, err = wasabiraft.Start(wasabiraft.RunnerConfig{
 		Self:     wasabiraft.Self{ID: s.id, Address: s.linkAddress, Storage: folder.Identity().Storage},
 		Settings: raft, Store: store, Transport: out.transport, StateMachine: out.machine,
--- a/wasabicontrol/instance.go
+++ b/wasabicontrol/instance.go
@@ -54,12 +54,14 @@
 	stopping atomic.Bool
 
 	// ready is closed once all parts are there; streams wait for it.
-	ready  chan struct{}
-	ctx    context.Context
-	cancel context.CancelFunc
-	wait   sync.WaitGroup
-	once   sync.Once
-	err    error
+	ready         chan struct{}
+	removedSignal chan struct{}
+	removedOnce   sync.Once
+	ctx           context.Context
+	cancel        context.CancelFunc
+	wait          sync.WaitGroup
+	once          sync.Once
+	err           error
 }
 
 // New checks the settings and returns an instance that has not started.
@@ -82,7 +84,7 @@
 	if p.Raft == (wasabiraft.Settings{}) {
 		p.Raft = wasabiraft.NewSettings()
 	}
-	i := &Instance{settings: s, parts: p, groups: map[string]*group{}, ready: make(chan struct{})}
+	i := &Instance{settings: s, parts: p, groups: map[string]*group{}, ready: make(chan struct{}), removedSignal: make(chan struct{})}
 	if p.Log != nil {
 		i.log = *p.Log
 	} else {
@@ -147,6 +149,10 @@
 	// the others retry until then.
 	i.links = wasabilink.Serve(i.parts.LinkListener, o, i.serveStream)
 	go i.hub.run()
+	if i.settings.losses > 0 {
+		f := newFormer(i, i.groups[RootGroup])
+		i.wait.Go(func() { f.run(i.ctx) })
+	}
 	i.wait.Go(func() { i.watchDirectory(i.ctx) })
 	close(i.ready)
 	i.serveAPI()
@@ -164,6 +170,11 @@
 	}
 	switch kind {
 	case wasabistandv1.StreamOpen_KIND_GROUP, wasabistandv1.StreamOpen_KIND_MEMBERS, wasabistandv1.StreamOpen_KIND_FORWARD:
+		if i.settings.losses > 0 {
+			// A group that replaces its members may be led by one that this
+			// instance has not heard of yet; the cluster's name was checked.
+			break
+		}
 		if peer := s.Link().Peer().Instance; !i.isMember(peer) {
 			i.log.Warn().Str("Peer", peer).Int32("kind", int32(kind)).Msg("stream of an instance that is no member of a group")
 			return
@@ -180,6 +191,8 @@
 		i.serveMembers(s)
 	case wasabistandv1.StreamOpen_KIND_FORWARD:
 		i.serveForward(ctx, s)
+	case wasabistandv1.StreamOpen_KIND_JOIN:
+		i.serveJoin(ctx, s)
 	default:
 		i.log.Warn().Str("Peer", s.Link().Peer().Instance).Int32("kind", int32(kind)).Msg("stream of a kind that is not served")
 	}
--- a/wasabicontrol/operator.go
+++ b/wasabicontrol/operator.go
@@ -8,6 +8,7 @@
 
 	"github.com/wasabistand/wasabistand"
 	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
+	"github.com/wasabistand/wasabistand/gen/wasabistand/v1/wasabistandv1connect"
 	"github.com/wasabistand/wasabistand/wasabiconfig"
 	"github.com/wasabistand/wasabistand/wasabilink"
 	"github.com/wasabistand/wasabistand/wasabiraft"
@@ -29,6 +30,9 @@
 	forwardAttempt = 2 * time.Second
 )
 
+// applyMethod names the command that replaces the configuration.
+const applyMethod = wasabistandv1connect.OperatorServiceApplyProcedure
+
 // command is a request that the leader of a group acts on. Requests with a
 // command identity act once, so that they may be tried again.
 type command struct {
@@ -84,8 +88,12 @@
 		if err := checkDocument(r.GetToml()); err != nil {
 			return nil, err
 		}
+		if err := i.durable(g); err != nil {
+			return nil, err
+		}
 		a, err := i.decide(ctx, g, &wasabistandv1.StateCommand{Kind: &wasabistandv1.StateCommand_Apply{Apply: &wasabistandv1.ApplyCommand{
 			Command: r.GetCommand(), ExpectedRevision: r.GetExpectedRevision(), Toml: r.GetToml(), Operator: c.operator, Comment: r.GetComment(),
+			Revision: r.GetRevision(),
 		}}})
 		if err != nil {
 			return nil, err
--- a/wasabicontrol/settings.go
+++ b/wasabicontrol/settings.go
@@ -97,6 +97,9 @@
 	retention        time.Duration
 	maxClaimEntries  int
 	maxAnswerBytes   int64
+	losses           int
+	revisions        int
+	revisionBytes    int
 }
 
 // NewSettings returns the default settings of one control instance that is
@@ -173,6 +176,22 @@
 	return s
 }
 
+// WithFormation returns a copy whose root group forms itself: it takes in
+// instances that ask, up to as many voters as bear the loss of the given number
+// of disks at once, and replaces members that are gone. 0 keeps the members
+// that the settings list.
+func (s Settings) WithFormation(losses int) Settings {
+	s.losses = losses
+	return s
+}
+
+// WithRevisions returns a copy that keeps at most count earlier documents and
+// bytes of them. All instances of a group need the same.
+func (s Settings) WithRevisions(count, bytes int) Settings {
+	s.revisions, s.revisionBytes = count, bytes
+	return s
+}
+
 // WithClaims returns a copy that keeps settled claims for another time, and
 // holds at most entries claims and answers bytes of recorded answers a group.
 // The settings of a group's leader are in force.
--- a/wasabiraft/members.go
+++ b/wasabiraft/members.go
@@ -133,6 +133,9 @@
 // promote makes one learner a voter. Answers come after a sync, so a learner
 // that matches the commit index holds it durably.
 func (r *Replica) promote(now time.Time, next *members) bool {
+	if n := r.settings.MaxVoters; n > 0 && r.voters() >= n {
+		return false
+	}
 	for _, m := range next.GetMembers() {
 		p := r.progress[m.GetId()]
 		if !m.GetVoter() && m.GetStorage() != "" && p.match >= r.log.commit && p.heardSince(now.Add(-r.settings.ElectionTimeout)) {
--- a/wasabiraft/settings.go
+++ b/wasabiraft/settings.go
@@ -49,6 +49,9 @@
 	SnapshotEvery int
 	// MaxBatch bounds the proposals that share one sync.
 	MaxBatch int
+	// MaxVoters is how many members vote; further ones stay learners. 0 for no
+	// bound.
+	MaxVoters int
 }
 
 // NewSettings returns the default settings.
@@ -89,6 +92,12 @@
 	return s
 }
 
+// WithMaxVoters returns a copy that lets at most n members vote.
+func (s Settings) WithMaxVoters(n int) Settings {
+	s.MaxVoters = n
+	return s
+}
+
 // check names the first setting that can't work.
 func (s Settings) check() error {
 	positive := []struct {
--- a/wasabisession/session.go
+++ b/wasabisession/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,6 +31,7 @@
 
 	mu        sync.Mutex
 	self      wasabistand.Instance
+	controls  []string // replaces those of the options, nil for none
 	interests sync.Map // service names
 	count     atomic.Int64
 	announced chan struct{} // capacity 1: self changed
@@ -92,15 +94,35 @@
 }
 
 // Announce replaces what the node says of itself. The session sets the
-// sequence and the revision in force.
+// sequence and the revision in force. A higher incarnation is taken over: an
+// instance that has left returns only under a new one.
 func (s *Session) Announce(i wasabistand.Instance) {
 	s.mu.Lock()
-	i.ID, i.Incarnation, i.Sequence = s.self.ID, s.self.Incarnation, s.self.Sequence
+	i.ID, i.Incarnation, i.Sequence = s.self.ID, max(i.Incarnation, s.self.Incarnation), s.self.Sequence
 	s.self = i
 	s.mu.Unlock()
 	signal(s.announced)
 }
 
+// SetControls replaces the addresses of control instances to start from, for
+// the next time that the session is lost.
+func (s *Session) SetControls(list ...string) {
+	s.mu.Lock()
+	s.controls = slices.Clone(list)
+	s.mu.Unlock()
+}
+
+// staleStep raises an incarnation above one of a clock that ran ahead.
+const staleStep = uint64(time.Hour)
+
+// renumber begins a new incarnation after control knew a later one, as after a
+// clock that was set back.
+func (s *Session) renumber() {
+	s.mu.Lock()
+	s.self.Incarnation += staleStep
+	s.mu.Unlock()
+}
+
 // Stale reports whether no control instance has acknowledged the node for a
 // lease: the view may be outdated.
 func (s *Session) Stale() bool {
@@ -147,6 +169,11 @@
 // run owns the control state: it keeps one session open, one after another.
 func (s *Session) run() {
 	for s.ctx.Err() == nil {
+		s.mu.Lock()
+		if s.controls != nil {
+			s.candidates.settings = s.controls
+		}
+		s.mu.Unlock()
 		address, wait := s.candidates.next(time.Now())
 		t := time.NewTimer(wait)
 		select {
@@ -162,6 +189,9 @@
 		if s.ctx.Err() != nil {
 			return
 		}
+		if reason == "stale-announcement" {
+			s.renumber()
+		}
 		s.candidates.fail(time.Now(), address, after)
 		s.record(wasabistand.EventSessionDown, reason, wasabistand.HeaderField{Name: "Control", Value: address})
 	}
--- a/wasabistate/configuration.go
+++ b/wasabistate/configuration.go
@@ -146,24 +146,65 @@
 			return InvalidResult{Err: err}
 		}
 	}
-	return m.once(c.GetCommand(), applyContent(c), func() any {
-		s := &m.configuration
-		if s.adopts {
-			return RefusedResult{Reason: "this group adopts its configuration from the root group"}
-		}
-		if c.GetExpectedRevision() != s.revision {
-			r := ConflictResult{Expected: c.GetExpectedRevision(), Latest: s.revision}
-			if n := s.history.len(); n > 0 {
-				winner := s.history.at(n - 1).entry
-				r.Winner, r.WonUnixMs = winner.Operator, winner.AcceptedUnixMs
-			}
-			return r
+	content := applyContent(c)
+	if c.GetRevision() != 0 {
+		return m.applyNumbered(c, content)
+	}
+	return m.once(c.GetCommand(), content, func() any { return m.replace(c, m.configuration.revision+1) })
+}
+
+// applyNumbered applies a document under a revision that the operator chose.
+// Revisions never repeat, so the number and the content identify the command.
+func (m *Machine) applyNumbered(c *wasabistandv1.ApplyCommand, content [32]byte) any {
+	if first, ok := m.numbered.byRevision[c.GetRevision()]; ok && first == content {
+		return AppliedResult{Revision: c.GetRevision(), Changed: true, Repeated: true}
+	}
+	if c.GetExpectedRevision() == m.configuration.revision && c.GetRevision() <= m.configuration.revision {
+		return InvalidResult{Err: wasabistand.ErrInvalid.New("revision: %d, allowed are those above %d", c.GetRevision(), m.configuration.revision)}
+	}
+	result := m.replace(c, c.GetRevision())
+	if _, ok := result.(AppliedResult); ok {
+		m.numbered.remember(c.GetRevision(), content, m.options.maxIdentities)
+	}
+	return result
+}
+
+// replace puts a document in force as a revision, unless it was made for
+// another one than the latest.
+func (m *Machine) replace(c *wasabistandv1.ApplyCommand, revision uint64) any {
+	s := &m.configuration
+	if s.adopts {
+		return RefusedResult{Reason: "this group adopts its configuration from the root group"}
+	}
+	if c.GetExpectedRevision() != s.revision {
+		r := ConflictResult{Expected: c.GetExpectedRevision(), Latest: s.revision}
+		if n := s.history.len(); n > 0 {
+			winner := s.history.at(n - 1).entry
+			r.Winner, r.WonUnixMs = winner.Operator, winner.AcceptedUnixMs
 		}
-		s.revision++
-		s.documentRevision, s.toml = s.revision, c.GetToml()
-		s.add(Entry{Revision: s.revision, Kind: KindApply, Operator: c.GetOperator(), AcceptedUnixMs: m.now, Comment: c.GetComment()}, m.options)
-		return AppliedResult{Revision: s.revision, Changed: true}
-	})
+		return r
+	}
+	s.revision = revision
+	s.documentRevision, s.toml = s.revision, c.GetToml()
+	s.add(Entry{Revision: s.revision, Kind: KindApply, Operator: c.GetOperator(), AcceptedUnixMs: m.now, Comment: c.GetComment()}, m.options)
+	return AppliedResult{Revision: s.revision, Changed: true}
+}
+
+// numbered remembers the content of accepted commands whose revision the
+// operator chose, the latest ones up to a bound.
+type numbered struct {
+	byRevision map[uint64][32]byte
+	queue      fifo[uint64]
+}
+
+func newNumbered() numbered { return numbered{byRevision: make(map[uint64][32]byte)} }
+
+func (n *numbered) remember(revision uint64, content [32]byte, most int) {
+	for n.queue.len() >= most {
+		delete(n.byRevision, n.queue.pop())
+	}
+	n.byRevision[revision] = content
+	n.queue.push(revision)
 }
 
 func (m *Machine) drain(c *wasabistandv1.DrainCommand) any {
--- a/wasabistate/identity.go
+++ b/wasabistate/identity.go
@@ -95,7 +95,11 @@
 }
 
 func applyContent(c *wasabistandv1.ApplyCommand) [32]byte {
-	return digest("apply", strconv.FormatUint(c.GetExpectedRevision(), 10), c.GetToml(), c.GetOperator(), c.GetComment())
+	fields := []string{"apply", strconv.FormatUint(c.GetExpectedRevision(), 10), c.GetToml(), c.GetOperator(), c.GetComment()}
+	if n := c.GetRevision(); n != 0 {
+		fields = append(fields, strconv.FormatUint(n, 10))
+	}
+	return digest(fields...)
 }
 
 func drainContent(c *wasabistandv1.DrainCommand) [32]byte {
--- a/wasabistate/machine.go
+++ b/wasabistate/machine.go
@@ -19,6 +19,7 @@
 	now           int64 // latest time of a command, in milliseconds
 	configuration configuration
 	identities    identities
+	numbered      numbered
 	claims        claims
 }
 
@@ -31,6 +32,7 @@
 		limits:        o.limits,
 		configuration: newConfiguration(),
 		identities:    newIdentities(),
+		numbered:      newNumbered(),
 		claims:        newClaims(),
 	}
 }
--- a/wasabistate/snapshot.go
+++ b/wasabistate/snapshot.go
@@ -36,6 +36,11 @@
 	for i := range m.identities.queue.len() {
 		s.Identities = append(s.Identities, fromIdentity(m.identities.queue.at(i)))
 	}
+	for i := range m.numbered.queue.len() {
+		revision := m.numbered.queue.at(i)
+		content := m.numbered.byRevision[revision]
+		s.Numbered = append(s.Numbered, &wasabistandv1.SnapshotNumbered{Revision: revision, Content: content[:]})
+	}
 	for _, o := range m.claims.owners {
 		o.number = 0
 	}
@@ -174,6 +179,12 @@
 		m.identities.byID[i.id] = i
 		m.identities.queue.push(i)
 	}
+	for _, e := range s.GetNumbered() {
+		if len(e.GetContent()) != 32 {
+			return Error.New("snapshot: revision %d: content has %d bytes, allowed are 32", e.GetRevision(), len(e.GetContent()))
+		}
+		m.numbered.remember(e.GetRevision(), [32]byte(e.GetContent()), m.options.maxIdentities)
+	}
 	m.claims.byKey = make(map[[16]byte]*claim, len(list))
 	for _, b := range list {
 		if err := m.restoreClaim(b, s.GetOwners()); err != nil {
--- a/wasabiwire/wire.go
+++ b/wasabiwire/wire.go
@@ -118,6 +118,7 @@
 		Waiting:    uint32(max(l.Waiting, 0)),
 		Limit:      uint32(max(l.Limit, 0)),
 		Leaving:    l.Leaving,
+		ServiceUs:  uint64(max(l.Service.Microseconds(), 0)),
 	}
 }
 
@@ -133,9 +134,13 @@
 		Waiting:    int(m.Waiting),
 		Limit:      int(m.Limit),
 		Leaving:    m.Leaving,
+		Service:    time.Duration(min(m.ServiceUs, maxServiceUs)) * time.Microsecond,
 	}
 }
 
+// maxServiceUs is above any time that a call can take.
+const maxServiceUs = uint64(time.Hour / time.Microsecond)
+
 // FromHeaders converts to the schema.
 func FromHeaders(list []wasabistand.HeaderField) []*wasabistandv1.Header {
 	out := make([]*wasabistandv1.Header, len(list))
