--- a/internal/edge/wasabihttp/conn.go
+++ b/internal/edge/wasabihttp/conn.go
@@ -189,6 +189,10 @@
 		x.reject(http.StatusBadRequest)
 		return nil
 	}
+	if r.Host == "" && r.ProtoAtLeast(1, 1) {
+		x.reject(http.StatusBadRequest)
+		return nil
+	}
 	if headerBytes(r) > l.MaxHeaderBytes {
 		x.reject(http.StatusRequestHeaderFieldsTooLarge)
 		return nil
--- /dev/null
+++ b/internal/edge/wasabihttp/upstream_test.go
@@ -0,0 +1,195 @@
+package wasabihttp_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wasabistand/wasabistand/internal/edge/wasabihttp"
+)
+
+// script is an upstream that answers the n-th request of all connections with
+// the n-th text, and ends the connection after a text that begins with "!".
+type script struct {
+	mu       sync.Mutex
+	answers  []string
+	requests []string
+	accepted int
+}
+
+func (s *script) serve(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.accepted++
+			s.mu.Unlock()
+			go s.answer(c)
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func (s *script) answer(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, q.Body)
+		s.mu.Lock()
+		s.requests = append(s.requests, q.Header.Get("Id"))
+		text := "!"
+		if len(s.answers) > 0 {
+			text, s.answers = s.answers[0], s.answers[1:]
+		}
+		s.mu.Unlock()
+		rest, last := strings.CutPrefix(text, "!")
+		if _, err := io.WriteString(c, rest); err != nil || last {
+			return
+		}
+	}
+}
+
+func (s *script) seen() ([]string, int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.requests, s.accepted
+}
+
+func upstream(address string) *wasabihttp.Upstream {
+	return wasabihttp.NewUpstream(wasabihttp.UpstreamOptions{
+		Address: address, MaxConnections: 4, IdleTimeout: time.Minute, DialTimeout: 5 * time.Second, EchoHeader: "Id", MaxHeaderBytes: 16 << 10,
+	})
+}
+
+func request(id string) *http.Request {
+	return &http.Request{Method: "GET", URL: &url.URL{Opaque: "/x?y=%2f"}, Host: "h", Header: http.Header{"Id": {id}}}
+}
+
+func do(u *wasabihttp.Upstream, id string) (status int, body string, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	call, err := u.Do(ctx, request(id))
+	if err != nil {
+		return 0, "", err
+	}
+	defer call.Close()
+	b, err := io.ReadAll(call)
+	return call.Answer.StatusCode, string(b), err
+}
+
+func ok(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
+}
+
+// Guards against the answer of an earlier request that is given to a later one.
+func TestStrayAnswerIsPassedOver(t *testing.T) {
+	s := &script{answers: []string{ok("old", "abc") + ok("1", "right"), ok("2", "two")}}
+	u := upstream(s.serve(t))
+	_, body, err := do(u, "1")
+	assert.NilError(t, err)
+	assert.Equal(t, body, "right")
+	_, body, err = do(u, "2")
+	assert.NilError(t, err)
+	assert.Equal(t, body, "two")
+	_, accepted := s.seen()
+	assert.Equal(t, accepted, 2, "a connection that carried a stray answer is not used again")
+}
+
+// Guards against bytes behind a whole answer that become the next answer.
+func TestBytesBehindAnAnswer(t *testing.T) {
+	s := &script{answers: []string{ok("1", "a") + ok("2", "b"), ok("2", "c")}}
+	u := upstream(s.serve(t))
+	_, body, err := do(u, "1")
+	assert.NilError(t, err)
+	assert.Equal(t, body, "a")
+	_, body, err = do(u, "2")
+	assert.NilError(t, err)
+	assert.Equal(t, body, "c")
+}
+
+// Guards against a request that is sent again behind the caller's back, when a
+// kept connection ends without an answer.
+func TestNothingIsSentTwice(t *testing.T) {
+	s := &script{answers: []string{ok("1", "a"), "!", ok("3", "c")}}
+	u := upstream(s.serve(t))
+	_, _, err := do(u, "1")
+	assert.NilError(t, err)
+	_, _, err = do(u, "2")
+	assert.ErrorIs(t, err, wasabihttp.ErrAnswer)
+	assert.Assert(t, !errors.Is(err, wasabihttp.ErrNotSent))
+	requests, _ := s.seen()
+	assert.DeepEqual(t, requests, []string{"1", "2"})
+}
+
+// Guards against cut answers that are taken for whole.
+func TestCutAnswers(t *testing.T) {
+	for _, text := range []string{
+		"!HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nabc",
+		"!HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+		"!HTTP/1.1 200 OK\r\nId: 1\r\nCont",
+		"!garbage\r\n\r\n",
+		"!",
+	} {
+		u := upstream((&script{answers: []string{text}}).serve(t))
+		_, _, err := do(u, "1")
+		assert.ErrorIs(t, err, wasabihttp.ErrAnswer, "%q", text)
+	}
+	u := upstream((&script{answers: []string{"!HTTP/1.1 200 OK\r\nId: 1\r\n\r\nends with the connection"}}).serve(t))
+	_, body, err := do(u, "1")
+	assert.NilError(t, err)
+	assert.Equal(t, body, "ends with the connection")
+}
+
+// Guards against an unreachable upstream that is reported as a call that may
+// have run, and against more connections than it accepts.
+func TestNotSent(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := ln.Addr().String()
+	assert.NilError(t, ln.Close())
+	_, _, err = do(upstream(address), "1")
+	assert.ErrorIs(t, err, wasabihttp.ErrNotSent)
+
+	hold := make(chan struct{})
+	defer close(hold)
+	ln, err = net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\n")
+		<-hold
+	}()
+	u := upstream(ln.Addr().String())
+	u.SetMaxConnections(1)
+	call, err := u.Do(t.Context(), request("1"))
+	assert.NilError(t, err)
+	defer call.Close()
+	_, _, err = do(u, "2")
+	assert.ErrorIs(t, err, wasabihttp.ErrFull)
+}
--- /dev/null
+++ b/internal/policy/wasabiform/form_test.go
@@ -0,0 +1,70 @@
+package wasabiform_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wasabistand/wasabistand/internal/policy/wasabiform"
+)
+
+func ExampleOptions_Durable() {
+	o := wasabiform.NewOptions(2)
+	fmt.Println(o.Voters(), o.Durable(3), o.Durable(4))
+	// Output: 5 false true
+}
+
+func member(id string, voter bool, heard time.Time) wasabiform.Member {
+	return wasabiform.Member{ID: id, Voter: voter, Counted: true, Matched: true, Heard: heard}
+}
+
+// Guards against a voter that is removed while nobody can take its place, or
+// for a silence that the new leader did not watch, or while most are silent.
+func TestRemoveOnlyWithSuccessor(t *testing.T) {
+	now := time.Unix(1000, 0)
+	old := now.Add(-time.Minute)
+	five := func(silent int) (list []wasabiform.Member) {
+		for i := range 5 {
+			heard := now
+			if i >= 5-silent {
+				heard = old.Add(time.Duration(i))
+			}
+			list = append(list, member(fmt.Sprint(i), true, heard))
+		}
+		return list
+	}
+	f := wasabiform.New(wasabiform.NewOptions(2))
+	learner := member("new", false, now)
+	assert.Equal(t, f.Remove(now, "0", append(five(1), learner)), "", "does not lead")
+	f.Lead(now.Add(-time.Second), true)
+	assert.Equal(t, f.Remove(now, "0", append(five(1), learner)), "", "leads since a second")
+	f.Lead(now, false)
+	f.Lead(now.Add(-time.Minute), true)
+	assert.Equal(t, f.Remove(now, "0", five(1)), "", "no successor")
+	assert.Equal(t, f.Remove(now, "0", append(five(1), learner)), "4")
+	assert.Equal(t, f.Remove(now, "0", append(five(2), learner)), "3", "the longest silent one")
+	assert.Equal(t, f.Remove(now, "0", append(five(3), learner)), "", "most are silent")
+	behind := learner
+	behind.Matched = false
+	assert.Equal(t, f.Remove(now, "0", append(five(1), behind)), "", "the successor lacks entries")
+	assert.Equal(t, f.Remove(now, "0", append(five(0), learner)), "", "all answer")
+}
+
+// Guards against silent learners that keep the group full for good.
+func TestSilentLearnersMakeRoom(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := wasabiform.New(wasabiform.NewOptions(2))
+	f.Lead(now.Add(-time.Minute), true)
+	var list []wasabiform.Member
+	for i := range 9 {
+		list = append(list, member(fmt.Sprint(i), i < 5, now))
+	}
+	assert.Assert(t, !f.Admits(list))
+	list[7].Heard = time.Time{}
+	list[7].Counted = false
+	assert.Equal(t, f.Remove(now, "0", list), "7")
+	assert.Equal(t, f.Remove(now, "0", list[:8]), "")
+	assert.Assert(t, f.Admits(list[:8]))
+}
--- /dev/null
+++ b/internal/policy/wasabiinstance/instance_test.go
@@ -0,0 +1,93 @@
+package wasabiinstance_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/wasabistand/wasabistand"
+	_ "github.com/wasabistand/wasabistand/internal/wasabiseed"
+
+	"github.com/wasabistand/wasabistand/internal/policy/wasabiinstance"
+)
+
+// Guards against a drain that is revoked by a report that came late, doubled
+// or from an earlier incarnation, and against one incarnation taken for
+// another. The oracle is the order in which the instance spoke.
+func TestReportsInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var sent []wasabiinstance.Report
+		for life := range rapid.IntRange(1, 3).Draw(t, "lives") {
+			leaving := false
+			for sequence := range rapid.IntRange(1, 5).Draw(t, "reports") {
+				leaving = leaving || rapid.IntRange(0, 3).Draw(t, "leaves") == 0
+				sent = append(sent, wasabiinstance.Report{
+					ID: rapid.SampledFrom([]string{"i", "j"}).Draw(t, "id"), Born: uint64(life + 1), Sequence: uint64(sequence + 1), Service: "s", Slots: 1, Leaving: leaving,
+				})
+				sent[len(sent)-1].ID = sent[len(sent)-1-sequence].ID
+			}
+		}
+		tracker := wasabiinstance.New("s")
+		newest, leaving := wasabiinstance.Report{}, false
+		for range rapid.IntRange(1, 20).Draw(t, "deliveries") {
+			r := rapid.SampledFrom(sent).Draw(t, "report")
+			err := tracker.Heartbeat(time.Unix(1, 0), r)
+			assert.Assert(t, err == nil || wasabiinstance.ErrStale.Has(err))
+			if r.Born > newest.Born {
+				leaving = false
+			}
+			if r.Born > newest.Born || r.Born == newest.Born && r.Sequence > newest.Sequence {
+				newest = r
+			}
+			leaving = leaving || newest.Leaving
+			s := tracker.State()
+			assert.Equal(t, s.Born, newest.Born)
+			assert.Equal(t, s.Leaving, leaving)
+			assert.Assert(t, !s.TakesWork(), "not asked yet")
+		}
+	})
+}
+
+// Guards against work for an instance that said goodbye, whose last heartbeat
+// comes after it.
+func TestLeaveIsFinal(t *testing.T) {
+	tracker := wasabiinstance.New("s")
+	now := time.Unix(1, 0)
+	r := wasabiinstance.Report{ID: "i", Born: 5, Sequence: 1, Service: "s", Slots: 3}
+	assert.NilError(t, tracker.Heartbeat(now, r))
+	tracker.Confirm(now, tracker.State().Lifetime, true)
+	assert.Assert(t, tracker.State().TakesWork())
+	assert.Assert(t, !tracker.Leave(now, "other", 0))
+	assert.Assert(t, tracker.State().TakesWork())
+	assert.Assert(t, tracker.Leave(now, "i", 0))
+	r.Sequence = 9
+	assert.Assert(t, wasabiinstance.ErrStale.Has(tracker.Heartbeat(now, r)))
+	assert.Assert(t, !tracker.State().TakesWork())
+	r.Born, r.Sequence = 6, 1
+	assert.NilError(t, tracker.Heartbeat(now, r))
+	assert.Assert(t, !tracker.State().Leaving)
+}
+
+// Guards against a node that restarts, hears no drain any more and takes a late
+// heartbeat for the truth.
+func TestRestartedNodeAsksFirst(t *testing.T) {
+	tracker := wasabiinstance.New("s")
+	now := time.Unix(1, 0)
+	assert.NilError(t, tracker.Heartbeat(now, wasabiinstance.Report{ID: "i", Born: 5, Sequence: 8, Service: "s", Slots: 3}))
+	assert.Assert(t, !tracker.State().TakesWork())
+	tracker.Confirm(now, tracker.State().Lifetime, false)
+	assert.Assert(t, tracker.State().Leaving)
+}
+
+// Guards against reports of other writers.
+func TestForeignReports(t *testing.T) {
+	tracker := wasabiinstance.New("s")
+	for _, r := range []wasabiinstance.Report{
+		{Service: "s", Slots: 1}, {ID: "i", Service: "t", Slots: 1}, {ID: "i", Service: "s"},
+	} {
+		assert.Assert(t, wasabistand.ErrInvalid.Has(tracker.Heartbeat(time.Unix(1, 0), r)))
+	}
+	assert.Assert(t, !tracker.State().Known)
+}
