Try control instances beside each other when a session is lost

Change: addresses are dialed with a pause of 250 ms between them, the first one that answers is used. Test: TestSilentControlsHoldUpNobody does not end without the change.

--- a/wasabisession/candidate.go
+++ b/wasabisession/candidate.go
@@ -72,23 +72,29 @@
 	return xxhash.Sum64String(address + "\x00" + c.self)
 }
 
-// next returns the address to try and how long to wait before. The address is
-// empty when none is known.
-func (c *candidates) next(now time.Time) (string, time.Duration) {
+// next returns the addresses to try, best first, and how long to wait before.
+// There are none when none is known; when all failed lately, it is the one
+// that may be tried first.
+func (c *candidates) next(now time.Time) ([]string, time.Duration) {
+	var list []string
 	best, until := "", time.Time{}
 	for _, a := range c.order() {
 		f := c.failed[a]
 		if !f.until.After(now) {
-			return a, c.jitter(c.options.spread)
+			list = append(list, a)
+			continue
 		}
 		if best == "" || f.until.Before(until) {
 			best, until = a, f.until
 		}
 	}
-	if best == "" {
-		return "", c.options.maxBackoff
+	switch {
+	case len(list) > 0:
+		return list, c.jitter(c.options.spread)
+	case best == "":
+		return nil, c.options.maxBackoff
 	}
-	return best, until.Sub(now) + c.jitter(c.options.spread)
+	return []string{best}, until.Sub(now) + c.jitter(c.options.spread)
 }
 
 // fail notes that an address did not serve, and leaves it alone for a time
--- a/wasabisession/options.go
+++ b/wasabisession/options.go
@@ -21,6 +21,7 @@
 	lease         time.Duration
 	answerTimeout time.Duration
 	spread        time.Duration
+	dialPause     time.Duration
 	backoff       time.Duration
 	maxBackoff    time.Duration
 	claimTimeout  time.Duration
@@ -43,7 +44,9 @@
 		answerTimeout: 2 * time.Second,
 		// All sessions of a lost control instance come back within this time.
 		// It leaves room to find the loss and to announce again within a lease.
-		spread:     500 * time.Millisecond,
+		spread: 500 * time.Millisecond,
+		// Several round trips between regions.
+		dialPause:  250 * time.Millisecond,
 		backoff:    250 * time.Millisecond,
 		maxBackoff: 5 * time.Second,
 		// A call waits no longer than this for its claim.
--- a/wasabisession/session.go
+++ b/wasabisession/session.go
@@ -174,7 +174,7 @@
 			s.candidates.settings = s.controls
 		}
 		s.mu.Unlock()
-		address, wait := s.candidates.next(time.Now())
+		list, wait := s.candidates.next(time.Now())
 		t := time.NewTimer(wait)
 		select {
 		case <-s.ctx.Done():
@@ -182,6 +182,7 @@
 			return
 		case <-t.C:
 		}
+		address := s.reach(list)
 		if address == "" {
 			continue
 		}
@@ -197,6 +198,52 @@
 	}
 }
 
+// reached is the result of dialing one control instance.
+type reached struct {
+	address string
+	err     error
+}
+
+// reach returns the first address to which a link is open, empty for none. An
+// address that does not answer holds up the next one for a short time only: in
+// a cut most of those in the list may be silent.
+func (s *Session) reach(list []string) string {
+	ctx, cancel := context.WithTimeout(s.ctx, s.options.answerTimeout)
+	defer cancel()
+	results := make(chan reached, len(list))
+	pause := time.NewTimer(0)
+	defer pause.Stop()
+	started, failed := 0, 0
+	for failed < len(list) {
+		select {
+		case <-pause.C:
+			if started < len(list) {
+				address := list[started]
+				started++
+				s.wait.Go(func() {
+					_, err := s.pool.Get(ctx, address)
+					results <- reached{address, err}
+				})
+				pause.Reset(s.options.dialPause)
+			}
+		case r := <-results:
+			if r.err == nil {
+				return r.address
+			}
+			failed++
+			s.candidates.fail(time.Now(), r.address, 0)
+			s.record(wasabistand.EventSessionDown, "connect", wasabistand.HeaderField{Name: "Control", Value: r.address})
+			pause.Reset(0)
+		case <-ctx.Done():
+			for _, a := range list[:started] {
+				s.candidates.fail(time.Now(), a, 0)
+			}
+			return ""
+		}
+	}
+	return ""
+}
+
 // serve runs one session until it ends and says why.
 func (s *Session) serve(address string) (reason string, after time.Duration) {
 	ctx, cancel := context.WithTimeout(s.ctx, s.options.answerTimeout)
--- a/wasabisession/session_test.go
+++ b/wasabisession/session_test.go
@@ -282,3 +282,21 @@
 	assert.NilError(t, s.Close())
 	assert.ErrorContains(t, settle(10), "closed")
 }
+
+// Guards against a session that waits for one silent control instance after
+// another, as in a cut, before it finds one that answers.
+func TestSilentControlsHoldUpNobody(t *testing.T) {
+	var addresses []string
+	for range 4 {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = ln.Close() })
+		addresses = append(addresses, ln.Addr().String())
+	}
+	c := newControl(t)
+	s, _ := newSession(t, wasabisession.NewOptions(append(addresses, c.address)...).WithAnswerTimeout(time.Hour))
+	k, _ := c.session()
+	defer close(k.release)
+	k.configure(t, &wasabistandv1.ConfigurationUpdate{Revision: 1, DocumentRevision: 1, Toml: document})
+	await(s, func(v *wasabistand.View) bool { return v.Revision == 1 })
+}
--- a/wasabitoml/decode.go
+++ b/wasabitoml/decode.go
@@ -68,7 +68,8 @@
 // Document is a decoded text with the lines of its keys.
 type Document struct {
 	file     string
-	lines    map[string]int
+	text     []byte
+	lines    map[string]int // found when the first problem needs them
 	problems []Problem
 }
 
@@ -76,7 +77,7 @@
 // wrong types and malformed text are refused; the error is of the class
 // wasabistand.ErrInvalid and lists all of them.
 func Decode(file string, text []byte, v any) (*Document, error) {
-	d := &Document{file: file, lines: locate(text)}
+	d := &Document{file: file, text: text}
 	decoder := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
 	err := decoder.Decode(v)
 	var strict *toml.StrictMissingError
@@ -130,6 +131,9 @@
 // line returns the line of a key, or of the nearest table that holds it.
 func (d *Document) line(key string) int {
 	for key != "" {
+		if d.lines == nil {
+			d.lines = locate(d.text)
+		}
 		if n, ok := d.lines[key]; ok {
 			return n
 		}
@@ -148,6 +152,7 @@
 	counts := map[string]int{}
 	var parser unstable.Parser
 	parser.Reset(text)
+	at := &lineCounter{text: text, line: 1}
 	prefix := ""
 	for parser.NextExpression() {
 		e := parser.Expression()
@@ -155,15 +160,15 @@
 		var line int
 		switch e.Kind {
 		case unstable.Table:
-			prefix, line = join("", e.Key(), counts, &parser)
+			prefix, line = join("", e.Key(), counts, at)
 			lines[prefix] = line
 		case unstable.ArrayTable:
-			path, line = join("", e.Key(), counts, &parser)
+			path, line = join("", e.Key(), counts, at)
 			prefix = fmt.Sprintf("%s[%d]", path, counts[path])
 			counts[path]++
 			lines[prefix] = line
 		case unstable.KeyValue:
-			path, line = join(prefix, e.Key(), nil, &parser)
+			path, line = join(prefix, e.Key(), nil, at)
 			lines[path] = line
 		}
 	}
@@ -172,7 +177,7 @@
 
 // join appends the parts of a key to a prefix; parts that name an array of
 // tables stand for its latest element.
-func join(prefix string, keys unstable.Iterator, counts map[string]int, parser *unstable.Parser) (string, int) {
+func join(prefix string, keys unstable.Iterator, counts map[string]int, at *lineCounter) (string, int) {
 	line := 0
 	for keys.Next() {
 		if n := counts[prefix]; n > 0 {
@@ -180,7 +185,7 @@
 		}
 		node := keys.Node()
 		if line == 0 {
-			line = parser.Shape(node.Raw).Start.Line
+			line = at.lineOf(int(node.Raw.Offset))
 		}
 		if prefix != "" {
 			prefix += "."
@@ -189,3 +194,18 @@
 	}
 	return prefix, line
 }
+
+// lineCounter finds the lines of rising offsets in one pass over the text.
+type lineCounter struct {
+	text   []byte
+	offset int
+	line   int
+}
+
+func (c *lineCounter) lineOf(offset int) int {
+	if offset > c.offset && offset <= len(c.text) {
+		c.line += bytes.Count(c.text[c.offset:offset], []byte{'\n'})
+		c.offset = offset
+	}
+	return c.line
+}
