Send lists of instances before they are complete

Cause: after a restart of all control instances no node got a list for the lease of 3 s and a second more, so nodes that had restarted too refused all requests (no-instance) although every upstream was back. Change: until it knows all, a control instance sends what it knows; a node adds it to the list that it holds. The full list follows.

--- a/wasabicontrol/hub.go
+++ b/wasabicontrol/hub.go
@@ -33,6 +33,7 @@
 	sessions  map[*session]struct{}
 	interests map[string]map[*session]struct{}
 	pushed    map[string]uint64 // the version last sent, by service
+	partials  map[string]uint64 // the same of lists that were not complete
 	dirty     bool
 	flush     *time.Timer
 	armed     bool
@@ -55,7 +56,7 @@
 		instance: i, work: make(chan func(), 1024), changed: make(chan struct{}, 1),
 		stop: make(chan struct{}), done: make(chan struct{}),
 		registry: wasabimember.New(wasabimember.NewOptions(i.settings.id, uint64(time.Now().UnixNano())).WithLease(i.settings.lease)),
-		sessions: map[*session]struct{}{}, interests: map[string]map[*session]struct{}{}, pushed: map[string]uint64{},
+		sessions: map[*session]struct{}{}, interests: map[string]map[*session]struct{}{}, pushed: map[string]uint64{}, partials: map[string]uint64{},
 		peers: map[string]*peer{}, regions: map[string]peerPlace{},
 		listed: map[string]wasabistand.InstanceState{}, lost: map[string]time.Time{},
 	}
@@ -245,6 +246,8 @@
 		h.interests[name][s] = struct{}{}
 		if h.warm(time.Now()) {
 			h.pushDelta(s, name, nil)
+		} else if f := h.partial(name); f != nil {
+			h.put(s, f)
 		}
 	}
 }
@@ -255,6 +258,7 @@
 	if len(h.interests[name]) == 0 {
 		delete(h.interests, name)
 		delete(h.pushed, name)
+		delete(h.partials, name)
 	}
 }
 
@@ -337,10 +341,14 @@
 // pushMembership sends deltas of the lists that changed to the sessions that
 // asked for them.
 func (h *hub) pushMembership(now time.Time) {
-	if !h.dirty || !h.warm(now) {
+	if !h.dirty {
 		return
 	}
 	h.dirty = false
+	if !h.warm(now) {
+		h.pushPartial()
+		return
+	}
 	for name, list := range h.interests {
 		version := h.registry.Version(name)
 		if h.pushed[name] == version {
@@ -354,6 +362,33 @@
 	}
 }
 
+// pushPartial sends what is known of the lists before they are complete. The
+// full lists follow, since no version is noted as sent.
+func (h *hub) pushPartial() {
+	for name, list := range h.interests {
+		version := h.registry.Version(name)
+		if h.partials[name] == version {
+			continue
+		}
+		h.partials[name] = version
+		if f := h.partial(name); f != nil {
+			for s := range list {
+				h.put(s, f)
+			}
+		}
+	}
+}
+
+// partial returns what is known of a list, nil for nothing.
+func (h *hub) partial(name string) *wasabistandv1.ControlFrame {
+	d := h.registry.Delta(name, 0)
+	if d == nil || len(d.GetUpserts()) == 0 {
+		return nil
+	}
+	d.Partial = true
+	return &wasabistandv1.ControlFrame{Kind: &wasabistandv1.ControlFrame_Membership{Membership: d}}
+}
+
 func (h *hub) pushDelta(s *session, name string, frames map[uint64]*wasabistandv1.ControlFrame) {
 	base := s.interests[name]
 	f, ok := frames[base]
--- a/wasabisession/session_test.go
+++ b/wasabisession/session_test.go
@@ -300,3 +300,27 @@
 	k.configure(t, &wasabistandv1.ConfigurationUpdate{Revision: 1, DocumentRevision: 1, Toml: document})
 	await(s, func(v *wasabistand.View) bool { return v.Revision == 1 })
 }
+
+// Guards against a list that loses instances to a control instance which has
+// just started and does not know them yet.
+func TestPartialListAddsOnly(t *testing.T) {
+	c := newControl(t)
+	s, _ := newSession(t, wasabisession.NewOptions(c.address))
+	s.Interest("archive")
+	k, _ := c.session()
+	send := func(d *wasabistandv1.MembershipDelta, ids ...string) {
+		d.Service = "archive"
+		for _, id := range ids {
+			d.Upserts = append(d.Upserts, &wasabistandv1.Instance{Id: id, Service: "archive", LinkAddress: "127.0.0.1:2", Region: "here", FailureDomain: "a", Slots: 1, Connections: 1, State: wasabistandv1.InstanceState_INSTANCE_STATE_READY})
+		}
+		assert.NilError(t, k.Send(&wasabistandv1.ControlFrame{Kind: &wasabistandv1.ControlFrame_Membership{Membership: d}}))
+	}
+	size := func(n int) { await(s, func(v *wasabistand.View) bool { return len(v.Instances["archive"]) == n }) }
+	k.configure(t, &wasabistandv1.ConfigurationUpdate{Revision: 1})
+	send(&wasabistandv1.MembershipDelta{Version: 7}, "1", "2")
+	size(2)
+	send(&wasabistandv1.MembershipDelta{Version: 3, Partial: true}, "3")
+	size(3)
+	send(&wasabistandv1.MembershipDelta{Version: 4}, "3")
+	size(1)
+}
--- a/wasabisession/state.go
+++ b/wasabisession/state.go
@@ -87,6 +87,10 @@
 // Entries that are not valid are left out.
 func (s *state) change(d *wasabistandv1.MembershipDelta) bool {
 	service := d.GetService()
+	if d.GetPartial() {
+		s.merge(d)
+		return true
+	}
 	if d.GetBaseVersion() != 0 && d.GetBaseVersion() != s.versions[service] {
 		delete(s.versions, service)
 		return false
@@ -108,6 +112,20 @@
 	return true
 }
 
+// merge adds what a control instance knows that does not know all yet.
+func (s *state) merge(d *wasabistandv1.MembershipDelta) {
+	service := d.GetService()
+	list := make(map[string]wasabistand.Instance, len(d.GetUpserts()))
+	maps.Copy(list, s.raw[service])
+	for _, m := range d.GetUpserts() {
+		if i, err := wasabiwire.ToInstance(m); err == nil && i.Service == service {
+			list[i.ID] = i
+		}
+	}
+	s.raw[service] = list
+	s.build(service)
+}
+
 func (s *state) build(service string) {
 	list := make([]wasabistand.Instance, 0, len(s.raw[service]))
 	for _, id := range slices.Sorted(maps.Keys(s.raw[service])) {
