Place requests by how long their kind takes and whom they hold up

Cause: long and short requests of a service were placed alike. A crowded instance kept its long ones because its mean time is that of the short ones, and a slow instance was never tried again by a node that had left it. Change: the time of a request is learned by route, an instance's slowness as a factor that is forgotten; what a request costs those that wait behind it is part of its price, so long requests leave a crowded place and short ones stay. Tests: TestLongRequestsLeaveACrowdedPlace and TestSlowInstanceIsAvoidedAndFoundAgain failed on the former decision.

--- a/internal/policy/wasabiplace/place.go
+++ b/internal/policy/wasabiplace/place.go
@@ -23,6 +23,8 @@
 	failurePrice time.Duration
 	loadAge      time.Duration
 	failureAge   time.Duration
+	factorAge    time.Duration
+	crowded      float64
 	refusedFor   time.Duration
 	downFor      time.Duration
 	maxDownFor   time.Duration
@@ -46,6 +48,11 @@
 		// Within a few calls' time a queue has changed.
 		loadAge:    time.Second,
 		failureAge: 4 * time.Second,
+		// An instance that was slow is tried again after some of these.
+		factorAge: 4 * time.Second,
+		// The part of the slots in use above which requests that come by
+		// chance at the same time begin to wait.
+		crowded:    0.7,
 		refusedFor: 50 * time.Millisecond,
 		downFor:    500 * time.Millisecond,
 		maxDownFor: 4 * time.Second,
@@ -81,8 +88,9 @@
 type service struct {
 	list []*instance
 	byID map[string]*instance
-	// mean is the moving mean of the time in the upstream, over all instances.
-	mean float64
+	// means are the moving means of the time in the upstream, by kind of
+	// request, over all instances.
+	means map[string]float64
 }
 
 type instance struct {
@@ -93,10 +101,13 @@
 	price       time.Duration
 
 	// What the latest answer told.
-	told        time.Time
-	load        wasabistand.Load
-	outThen     int
-	serviceTime float64 // seconds, 0 when unknown
+	told    time.Time
+	load    wasabistand.Load
+	outThen int
+	// factor is how much slower the instance is than the others, 0 when
+	// unknown, as of the time at which it was last measured.
+	factor   float64
+	factorAt time.Time
 
 	failRate     float64
 	failedAt     time.Time
@@ -116,7 +127,7 @@
 func (p *Placer) SetInstances(name string, list []wasabistand.Instance) {
 	s := p.services[name]
 	if s == nil {
-		s = &service{byID: map[string]*instance{}}
+		s = &service{byID: map[string]*instance{}, means: map[string]float64{}}
 		p.services[name] = s
 	}
 	for _, i := range s.byID {
@@ -166,6 +177,8 @@
 // Query is a request to place.
 type Query struct {
 	Service string
+	// Kind names requests that take alike in time, such as those of a route.
+	Kind string
 	// Exclude lists instances that were tried.
 	Exclude []string
 	// Once says that the request can't be repeated after a failure.
@@ -220,31 +233,32 @@
 // it costs besides.
 func (p *Placer) score(now time.Time, s *service, i *instance, q Query) (score, expected float64) {
 	o := &p.options
-	service := i.serviceTime
-	if service == 0 {
-		service = s.mean
+	own := s.means[q.Kind]
+	if own == 0 {
+		own = o.guess.Seconds()
 	}
-	if service == 0 {
-		service = o.guess.Seconds()
+	own *= i.slowness(now, o)
+	// What is ahead of the request takes as long as calls there did lately.
+	others := i.load.Service.Seconds()
+	if others == 0 {
+		others = own
 	}
-	if i.State == wasabistand.Cold {
-		service *= o.coldFactor
-	}
-	limit := float64(max(i.Slots, 1))
+	limit, waiting := float64(max(i.Slots, 1)), 0.0
 	ahead := float64(i.outstanding)
 	if age := now.Sub(i.told); !i.told.IsZero() && age < o.loadAge {
 		if i.load.Limit > 0 {
 			limit = float64(i.load.Limit)
 		}
-		others := float64(i.load.Running+i.load.Waiting) - float64(i.outThen)
-		ahead += max(others, 0) * (1 - age.Seconds()/o.loadAge.Seconds())
+		fresh := 1 - age.Seconds()/o.loadAge.Seconds()
+		ahead += max(float64(i.load.Running+i.load.Waiting)-float64(i.outThen), 0) * fresh
+		waiting = float64(i.load.Waiting) * fresh
 	}
-	wait := max(ahead+1-limit, 0) * service / limit
-	// Queues form by chance before all slots are taken.
-	busy := min(ahead/limit, 1)
-	wait += busy * busy * busy * service / 4
-	expected = i.trip.Seconds() + wait + service
-	score = expected + i.price.Seconds()
+	wait := max(ahead+1-limit, 0) * others / limit
+	expected = i.trip.Seconds() + wait + own
+	// Each request that waits there, or is likely to come while all slots are
+	// taken, waits longer by this one's part of the slots.
+	behind := max(waiting, ahead+1-limit) + limit*max(min(ahead/limit, 1)-o.crowded, 0)
+	score = expected + i.price.Seconds() + max(behind, 0)*own/limit
 	if !i.failedAt.IsZero() {
 		rate := i.failRate * math.Exp2(-now.Sub(i.failedAt).Seconds()/o.failureAge.Seconds())
 		price := o.failurePrice.Seconds()
@@ -254,15 +268,58 @@
 		score += rate * price
 	}
 	if now.Before(i.refusedUntil) {
-		score += service
+		score += others
+	}
+	if q.Remaining > 0 && expected > q.Remaining.Seconds() {
+		score += expected
 	}
 	score *= 1 + o.jitter*p.random.Float64()
 	if now.Before(i.downUntil) {
-		score += 1000
+		score += unreachable
 	}
 	return score, expected
 }
 
+// unreachable is above any other score, in seconds.
+const unreachable = 1000
+
+// slowness returns how much slower than others an instance is taken to be.
+// Without new measurements it is forgotten.
+func (i *instance) slowness(now time.Time, o *Options) float64 {
+	f := 1.0
+	if i.factor > 0 {
+		f += (i.factor - 1) * math.Exp2(-now.Sub(i.factorAt).Seconds()/o.factorAge.Seconds())
+	}
+	if i.State == wasabistand.Cold {
+		f = max(f, o.coldFactor)
+	}
+	return f
+}
+
+// measure takes over how long a request ran. Answers lead the mean of the kind
+// slowly, and the instance's factor quickly.
+func (i *instance) measure(now time.Time, s *service, kind string, took float64, o *Options) {
+	mean := s.means[kind]
+	if mean == 0 && len(s.means) < maxKinds || mean > 0 {
+		s.means[kind] = moving(mean, took, meanWeight)
+	}
+	if mean == 0 {
+		return
+	}
+	before := i.slowness(now, o)
+	i.factor = min(max(moving(before, took/mean, factorWeight), minFactor), maxFactor)
+	i.factorAt = now
+}
+
+// Bounds of what is learned.
+const (
+	maxKinds  = 4096
+	minFactor = 0.25
+	maxFactor = 50
+	// factorWeight is the part of a new measurement in an instance's factor.
+	factorWeight = 1.0 / 8
+)
+
 // Result is how a placed request ended.
 type Result struct {
 	// Failed says that the instance or the way to it is at fault.
@@ -273,6 +330,8 @@
 	Down bool
 	// Service is the time in the upstream, 0 when unknown.
 	Service time.Duration
+	// Kind is that of the query.
+	Kind string
 	// Load is what the answer told, nil for nothing.
 	Load *wasabistand.Load
 }
@@ -296,14 +355,11 @@
 		return
 	}
 	if r.Service > 0 {
-		s.mean = moving(s.mean, r.Service.Seconds())
+		i.measure(now, s, r.Kind, r.Service.Seconds(), &p.options)
 	}
 	if l := r.Load; l != nil {
 		i.told, i.load, i.outThen = now, *l, i.outstanding
 		i.leaving = l.Leaving
-		if l.Service > 0 {
-			i.serviceTime = l.Service.Seconds()
-		}
 	}
 	switch {
 	case r.Down:
@@ -330,11 +386,11 @@
 	i.consecutive++
 }
 
-func moving(mean, sample float64) float64 {
+func moving(mean, sample, weight float64) float64 {
 	if mean == 0 {
 		return sample
 	}
-	return mean + (sample-mean)*meanWeight
+	return mean + (sample-mean)*weight
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/policy/wasabiplace/place_test.go
@@ -0,0 +1,164 @@
+package wasabiplace_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/wasabistand/wasabistand"
+	_ "github.com/wasabistand/wasabistand/internal/wasabiseed"
+
+	"github.com/wasabistand/wasabistand/internal/policy/wasabiplace"
+)
+
+var here = wasabistand.Location{Region: "r1", FailureDomain: "a"}
+
+func instance(id, region, domain string, slots int) wasabistand.Instance {
+	return wasabistand.Instance{ID: id, Incarnation: 1, Service: "s", Location: wasabistand.Location{Region: region, FailureDomain: domain}, Slots: slots, State: wasabistand.Ready}
+}
+
+func placer(list ...wasabistand.Instance) *wasabiplace.Placer {
+	p := wasabiplace.New(wasabiplace.NewOptions(), here, rand.New(rand.NewPCG(1, 2)))
+	p.SetInstances("s", list)
+	return p
+}
+
+func pick(t *testing.T, p *wasabiplace.Placer, now time.Time, q wasabiplace.Query) string {
+	t.Helper()
+	q.Service = "s"
+	c, err := p.Pick(now, q)
+	assert.NilError(t, err)
+	return c.Instance.ID
+}
+
+// share places n requests that end at once and counts where they go.
+func share(t *testing.T, p *wasabiplace.Placer, now time.Time, n int, q wasabiplace.Query, result func(id string) wasabiplace.Result) map[string]int {
+	t.Helper()
+	count := map[string]int{}
+	for range n {
+		id := pick(t, p, now, q)
+		count[id]++
+		r := result(id)
+		r.Kind = q.Kind
+		p.Done(now, "s", id, r)
+		now = now.Add(10 * time.Millisecond)
+	}
+	return count
+}
+
+func answered(took time.Duration) func(string) wasabiplace.Result {
+	return func(string) wasabiplace.Result { return wasabiplace.Result{Service: took} }
+}
+
+// Guards against traffic that leaves the failure domain without a reason.
+func TestNearestWhileItHasRoom(t *testing.T) {
+	p := placer(instance("near", "r1", "a", 10), instance("beside", "r1", "b", 10), instance("far", "r2", "c", 10))
+	count := share(t, p, time.Unix(1000, 0), 200, wasabiplace.Query{Kind: "k"}, answered(20*time.Millisecond))
+	assert.DeepEqual(t, count, map[string]int{"near": 200})
+}
+
+// Guards against an instance that fails part of its requests and keeps its
+// traffic, and against one that never gets any again after it is well.
+func TestFailingInstanceIsAvoidedAndFoundAgain(t *testing.T) {
+	p := placer(instance("near", "r1", "a", 10), instance("far", "r2", "c", 10))
+	now := time.Unix(1000, 0)
+	n := 0
+	count := share(t, p, now, 500, wasabiplace.Query{Kind: "k"}, func(id string) wasabiplace.Result {
+		n++
+		return wasabiplace.Result{Failed: id == "near" && n%3 == 0, Service: 20 * time.Millisecond}
+	})
+	assert.Assert(t, count["near"] < 100, "%v", count)
+	count = share(t, p, now.Add(time.Minute), 200, wasabiplace.Query{Kind: "k"}, answered(20*time.Millisecond))
+	assert.Assert(t, count["near"] > 150, "%v", count)
+}
+
+// Guards against a slow instance that keeps its traffic because it is near, and
+// that is never tried again.
+func TestSlowInstanceIsAvoidedAndFoundAgain(t *testing.T) {
+	p := placer(instance("near", "r1", "a", 10), instance("beside", "r1", "b", 10))
+	now := time.Unix(1000, 0)
+	slow := func(id string) wasabiplace.Result {
+		if id == "near" {
+			return wasabiplace.Result{Service: 800 * time.Millisecond}
+		}
+		return wasabiplace.Result{Service: 80 * time.Millisecond}
+	}
+	share(t, p, now, 20, wasabiplace.Query{Kind: "k"}, answered(80*time.Millisecond))
+	count := share(t, p, now.Add(time.Second), 500, wasabiplace.Query{Kind: "k"}, slow)
+	assert.Assert(t, count["near"] < 50, "%v", count)
+	count = share(t, p, now.Add(time.Minute), 200, wasabiplace.Query{Kind: "k"}, answered(80*time.Millisecond))
+	assert.Assert(t, count["near"] > 100, "%v", count)
+}
+
+// Guards against long requests that stay in a crowded place and hold up the
+// short ones, for which another region is too far.
+func TestLongRequestsLeaveACrowdedPlace(t *testing.T) {
+	p := placer(instance("near", "r1", "a", 12), instance("far", "r2", "c", 12))
+	now := time.Unix(1000, 0)
+	crowded := &wasabistand.Load{Running: 12, Waiting: 8, Limit: 12, Service: 20 * time.Millisecond}
+	for range 30 {
+		id := pick(t, p, now, wasabiplace.Query{Kind: "long"})
+		p.Done(now, "s", id, wasabiplace.Result{Kind: "long", Service: 360 * time.Millisecond})
+		id = pick(t, p, now, wasabiplace.Query{Kind: "short"})
+		p.Done(now, "s", id, wasabiplace.Result{Kind: "short", Service: 20 * time.Millisecond, Load: crowded})
+	}
+	assert.Equal(t, pick(t, p, now, wasabiplace.Query{Kind: "long"}), "far")
+	assert.Equal(t, pick(t, p, now, wasabiplace.Query{Kind: "short"}), "near")
+}
+
+// Guards against a request for an instance that leaves, was tried or does not
+// exist, against an unreachable one while another is there, and against counts
+// that drift.
+func TestPickKeepsTheRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var list []wasabistand.Instance
+		down, allowed := map[string]bool{}, map[string]bool{}
+		now := time.Unix(1000, 0)
+		for n := range rapid.IntRange(0, 30).Draw(t, "instances") {
+			i := instance(fmt.Sprint(n), rapid.SampledFrom([]string{"r1", "r2"}).Draw(t, "region"), "a", rapid.IntRange(1, 5).Draw(t, "slots"))
+			i.State = rapid.SampledFrom([]wasabistand.InstanceState{wasabistand.Ready, wasabistand.Cold, wasabistand.Leaving}).Draw(t, "state")
+			list = append(list, i)
+			allowed[i.ID] = i.State != wasabistand.Leaving
+		}
+		p := placer(list...)
+		var exclude []string
+		for _, i := range list {
+			id := i.ID
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0:
+				exclude = append(exclude, id)
+				allowed[id] = false
+			case 1:
+				down[id] = true
+			}
+		}
+		for id := range down {
+			if allowed[id] {
+				p.Done(now, "s", id, wasabiplace.Result{Down: true, Failed: true})
+			}
+		}
+		reachable := false
+		for id, ok := range allowed {
+			reachable = reachable || ok && !down[id]
+		}
+		c, err := p.Pick(now, wasabiplace.Query{Service: "s", Exclude: exclude})
+		if err != nil {
+			var r *wasabistand.Refusal
+			assert.Assert(t, errors.As(err, &r))
+			assert.Equal(t, r.Outcome, wasabistand.NotRun)
+			for id, ok := range allowed {
+				assert.Assert(t, !ok, "%s was allowed", id)
+			}
+			return
+		}
+		assert.Assert(t, allowed[c.Instance.ID])
+		if reachable && len(list) <= 16 {
+			assert.Assert(t, !down[c.Instance.ID])
+		}
+	})
+}
--- a/internal/traffic/wasabigateway/enter.go
+++ b/internal/traffic/wasabigateway/enter.go
@@ -264,7 +264,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c, err := g.placer.Pick(now, wasabiplace.Query{
-		Service: q.service, Exclude: q.tried, Once: !q.attempt.repeatable, Remaining: q.deadline.Sub(now),
+		Service: q.service, Kind: q.route.Name, Exclude: q.tried, Once: !q.attempt.repeatable, Remaining: q.deadline.Sub(now),
 	})
 	if err != nil {
 		var refusal *wasabistand.Refusal
@@ -282,7 +282,7 @@
 	defer g.mu.Unlock()
 	g.placer.Done(g.now(), q.service, i.ID, wasabiplace.Result{
 		Failed: out.faulty, Down: out.down, Refused: out.refusal != nil && out.refusal.Outcome == wasabistand.NotRun && !out.faulty,
-		Service: out.took, Load: out.load,
+		Service: out.took, Kind: q.route.Name, Load: out.load,
 	})
 }
 
