Let a failure cost little while the budget can repeat it

Cause: with answers lost on four of six instances of the service that all requests need, all nodes crowded the two others (32 calls waiting at 12 slots) while the four had free slots; requests ran into their time limit there. Change: the price of a likely failure falls to that of another attempt while half of the budget of repeats is left, and rises as it is used up. Test: TestFailuresCostLittleWhileTheyCanBeRepeated failed before.

--- a/internal/policy/wasabibudget/budget.go
+++ b/internal/policy/wasabibudget/budget.go
@@ -103,6 +103,12 @@
 	return true
 }
 
+// Spare returns the part of a service's budget that is not used, 0 to 1.
+func (b *Budget) Spare(now time.Time, service string) float64 {
+	c := b.counts(now, service)
+	return max(1-float64(c.repeats)/(b.options.ratio*float64(c.requests)+b.options.reserve), 0)
+}
+
 // Left returns how many repeats the budget of a service allows now.
 func (b *Budget) Left(now time.Time, service string) int {
 	c := b.counts(now, service)
--- a/internal/policy/wasabiplace/place.go
+++ b/internal/policy/wasabiplace/place.go
@@ -21,6 +21,8 @@
 	domainTrip   time.Duration
 	regionTrip   time.Duration
 	failurePrice time.Duration
+	repeatPrice  time.Duration
+	ample        float64
 	loadAge      time.Duration
 	failureAge   time.Duration
 	factorAge    time.Duration
@@ -45,6 +47,10 @@
 		regionTrip:  40 * time.Millisecond,
 		// What a failed attempt costs its caller: another attempt or nothing.
 		failurePrice: 2 * time.Second,
+		// What it costs while the budget has room for another attempt.
+		repeatPrice: 200 * time.Millisecond,
+		// The part of the budget that must be left for the price to be so low.
+		ample: 0.5,
 		// Within a few calls' time a queue has changed.
 		loadAge:    time.Second,
 		failureAge: 4 * time.Second,
@@ -183,6 +189,9 @@
 	Exclude []string
 	// Once says that the request can't be repeated after a failure.
 	Once bool
+	// Spare is the part of the budget of repeats that is left, 0 to 1: while
+	// there is some, a failure costs no more than another attempt.
+	Spare float64
 	// Remaining is how long its caller still waits.
 	Remaining time.Duration
 }
@@ -261,11 +270,7 @@
 	score = expected + i.price.Seconds() + max(behind, 0)*own/limit
 	if !i.failedAt.IsZero() {
 		rate := i.failRate * math.Exp2(-now.Sub(i.failedAt).Seconds()/o.failureAge.Seconds())
-		price := o.failurePrice.Seconds()
-		if q.Once {
-			price *= 2
-		}
-		score += rate * price
+		score += rate * q.failurePrice(o)
 	}
 	if now.Before(i.refusedUntil) {
 		score += others
@@ -280,6 +285,15 @@
 	return score, expected
 }
 
+// failurePrice returns what a failed attempt costs, in seconds.
+func (q Query) failurePrice(o *Options) float64 {
+	full := o.failurePrice.Seconds()
+	if q.Once {
+		return 2 * full
+	}
+	return full + (o.repeatPrice.Seconds()-full)*min(q.Spare/o.ample, 1)
+}
+
 // unreachable is above any other score, in seconds.
 const unreachable = 1000
 
@@ -349,7 +363,7 @@
 	if i == nil {
 		return
 	}
-	i.outstanding--
+	i.outstanding = max(i.outstanding-1, 0)
 	if !i.present && i.outstanding <= 0 {
 		delete(s.byID, id)
 		return
--- a/internal/policy/wasabiplace/place_test.go
+++ b/internal/policy/wasabiplace/place_test.go
@@ -77,6 +77,31 @@
 	assert.Assert(t, count["near"] > 150, "%v", count)
 }
 
+// Guards against requests that crowd the few instances that never fail, while
+// the budget has room to repeat what the others lose.
+func TestFailuresCostLittleWhileTheyCanBeRepeated(t *testing.T) {
+	now := time.Unix(1000, 0)
+	far := func(spare float64) int {
+		p := placer(instance("good", "r1", "a", 12), instance("lossy", "r1", "b", 12))
+		for n := range 60 {
+			id := pick(t, p, now, wasabiplace.Query{Kind: "k", Spare: spare})
+			p.Done(now, "s", id, wasabiplace.Result{Kind: "k", Service: 20 * time.Millisecond, Failed: id == "lossy" && n%3 == 0})
+		}
+		count := 0
+		crowded := &wasabistand.Load{Running: 12, Waiting: 40, Limit: 12, Service: 20 * time.Millisecond}
+		p.Done(now, "s", "good", wasabiplace.Result{Kind: "k", Service: 20 * time.Millisecond, Load: crowded})
+		p.Done(now, "s", "lossy", wasabiplace.Result{Kind: "k", Failed: true})
+		for range 40 {
+			if pick(t, p, now, wasabiplace.Query{Kind: "k", Spare: spare}) == "lossy" {
+				count++
+			}
+		}
+		return count
+	}
+	assert.Assert(t, far(1) >= 20, "%d of 40", far(1))
+	assert.Equal(t, far(0), 0)
+}
+
 // Guards against a slow instance that keeps its traffic because it is near, and
 // that is never tried again.
 func TestSlowInstanceIsAvoidedAndFoundAgain(t *testing.T) {
--- a/internal/traffic/wasabigateway/enter.go
+++ b/internal/traffic/wasabigateway/enter.go
@@ -264,7 +264,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c, err := g.placer.Pick(now, wasabiplace.Query{
-		Service: q.service, Kind: q.route.Name, Exclude: q.tried, Once: !q.attempt.repeatable, Remaining: q.deadline.Sub(now),
+		Service: q.service, Kind: q.route.Name, Exclude: q.tried, Remaining: q.deadline.Sub(now),
+		Once: !q.attempt.repeatable || q.arrived+1 >= q.route.MaxAttempts, Spare: g.budget.Spare(now, q.service),
 	})
 	if err != nil {
 		var refusal *wasabistand.Refusal
--- a/internal/traffic/wasabigateway/journal.go
+++ b/internal/traffic/wasabigateway/journal.go
@@ -75,7 +75,7 @@
 	if l == nil {
 		return e
 	}
-	return e.Int("InUse", l.Running).Int("Waiting", l.Waiting).Int("Limit", l.Limit).Dur("Service", l.Service)
+	return e.Int("InUse", l.Running).Int("Waiting", l.Waiting).Int("Limit", l.Limit).Int64("MeanMs", l.Service.Milliseconds())
 }
 
 // note writes how an attempt ended.
