Test the gateway, and end a stop with the node

Cause: the gateway had no tests; a call that must not be repeated outlived the node's stop, since it is cut loose from its caller. Change: tests of what reaches an upstream and what a caller is told, over two nodes; such a call ends with the node.

--- a/internal/edge/wasabihttp/server_test.go
+++ b/internal/edge/wasabihttp/server_test.go
@@ -50,13 +50,21 @@
 	return c, bufio.NewReader(c)
 }
 
-func answer(t *testing.T, r *bufio.Reader) (*http.Response, string) {
+// head is that of an answer.
+type head struct {
+	StatusCode int
+	Header     http.Header
+	Close      bool
+}
+
+func answer(t *testing.T, r *bufio.Reader) (head, string) {
 	t.Helper()
 	a, err := http.ReadResponse(r, nil)
 	assert.NilError(t, err)
+	defer a.Body.Close()
 	b, err := io.ReadAll(a.Body)
 	assert.NilError(t, err)
-	return a, string(b)
+	return head{a.StatusCode, a.Header, a.Close}, string(b)
 }
 
 // Guards against pipelined requests that are answered out of order, lost, or
@@ -167,6 +175,7 @@
 		}
 		_, err = io.ReadAll(a.Body)
 		assert.Assert(t, err != nil)
+		_ = a.Body.Close()
 	}
 }
 
--- a/internal/edge/wasabihttp/upstream.go
+++ b/internal/edge/wasabihttp/upstream.go
@@ -237,6 +237,7 @@
 func (c *Call) read(ctx context.Context, r *http.Request) error {
 	for {
 		c.conn.head.on, c.conn.head.left = true, c.conn.owner.options.MaxHeaderBytes+readBuffer
+		//nolint:bodyclose // The body ends with the call, which owns the connection.
 		answer, err := http.ReadResponse(c.conn.reader, r)
 		c.conn.head.on = false
 		if err != nil {
@@ -258,7 +259,7 @@
 // Read reads the answer's body. io.EOF means that it is whole.
 func (c *Call) Read(p []byte) (int, error) {
 	n, err := c.Answer.Body.Read(p)
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		c.whole = true
 	} else if err != nil {
 		err = errors.Join(ErrAnswer, err)
--- a/internal/edge/wasabihttp/upstream_test.go
+++ b/internal/edge/wasabihttp/upstream_test.go
@@ -83,7 +83,7 @@
 }
 
 func request(id string) *http.Request {
-	return &http.Request{Method: "GET", URL: &url.URL{Opaque: "/x?y=%2f"}, Host: "h", Header: http.Header{"Id": {id}}}
+	return &http.Request{Method: http.MethodGet, URL: &url.URL{Opaque: "/x?y=%2f"}, Host: "h", Header: http.Header{"Id": {id}}}
 }
 
 func do(u *wasabihttp.Upstream, id string) (status int, body string, err error) {
--- a/internal/traffic/wasabigateway/gateway.go
+++ b/internal/traffic/wasabigateway/gateway.go
@@ -193,6 +193,9 @@
 // of wasabiinstance.ErrStale for one that was overtaken.
 func (g *Gateway) Heartbeat(r wasabiinstance.Report) error { return g.local.heartbeat(r) }
 
+// Load returns the occupancy of the own instance.
+func (g *Gateway) Load() wasabistand.Load { return g.gate.load() }
+
 // Leave takes the instance's word that it leaves for good. born is 0 when it
 // is not said.
 func (g *Gateway) Leave(id string, born uint64) { g.local.leave(id, born) }
--- /dev/null
+++ b/internal/traffic/wasabigateway/gateway_test.go
@@ -0,0 +1,388 @@
+package wasabigateway_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/wasabistand/wasabistand"
+	"github.com/wasabistand/wasabistand/internal/policy/wasabiinstance"
+	"github.com/wasabistand/wasabistand/internal/policy/wasabiplace"
+	"github.com/wasabistand/wasabistand/internal/traffic/wasabigateway"
+	"github.com/wasabistand/wasabistand/wasabiadmission"
+	"github.com/wasabistand/wasabistand/wasabilink"
+)
+
+var headers = wasabigateway.Headers{
+	RequestID: "Id", Timeout: "Patience-Ms", Signature: "Mark", NotRun: "Untouched", Expected: "Meant-For", Origin: "From", Instance: "Name",
+}
+
+// upstream is a scripted instance. It answers each request with the result of
+// answer, which gets the request and its body.
+type upstream struct {
+	name    string
+	address string
+	mu      sync.Mutex
+	ran     []string
+	answer  func(r *http.Request, body string) string
+	health  string
+	gone    chan string
+}
+
+func newUpstream(t *testing.T, name string, answer func(r *http.Request, body string) string) *upstream {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	u := &upstream{name: name, address: ln.Addr().String(), answer: answer, gone: make(chan string, 16), health: "HTTP/1.1 200 OK\r\nName: " + name + "\r\nContent-Length: 0\r\n\r\n"}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go u.serve(c)
+		}
+	}()
+	return u
+}
+
+func (u *upstream) serve(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(q.Body)
+		if err != nil {
+			return
+		}
+		text := u.health
+		if q.URL.Path != "/health" {
+			u.mu.Lock()
+			u.ran = append(u.ran, q.Header.Get("Id"))
+			u.mu.Unlock()
+			text = u.answer(q, string(body))
+		}
+		if _, err := io.WriteString(c, text); err != nil || text == "" {
+			return
+		}
+	}
+}
+
+func (u *upstream) seen() []string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return append([]string(nil), u.ran...)
+}
+
+func whole(q *http.Request, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nMark: m\r\nContent-Length: %d\r\n\r\n%s", q.Header.Get("Id"), len(body), body)
+}
+
+// control is a stand-in for control: it gives each node the same view.
+type control struct {
+	mu      sync.Mutex
+	view    atomic.Pointer[wasabistand.View]
+	changed atomic.Pointer[chan struct{}]
+}
+
+func newControl(c *wasabistand.Contracts) *control {
+	k := &control{}
+	ch := make(chan struct{})
+	k.changed.Store(&ch)
+	if c != nil {
+		k.view.Store(&wasabistand.View{Revision: 1, Contracts: c, Instances: map[string][]wasabistand.Instance{}})
+	}
+	return k
+}
+
+func (k *control) View() *wasabistand.View  { return k.view.Load() }
+func (k *control) Interest(string)          {}
+func (k *control) Changed() <-chan struct{} { return *k.changed.Load() }
+func (k *control) String() string           { return "test" }
+
+// announce replaces an instance in the view.
+func (k *control) announce(i wasabistand.Instance) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	v := *k.view.Load()
+	all := map[string][]wasabistand.Instance{}
+	for s, list := range v.Instances {
+		for _, old := range list {
+			if old.ID != i.ID {
+				all[s] = append(all[s], old)
+			}
+		}
+	}
+	all[i.Service] = append(all[i.Service], i)
+	v.Instances = all
+	k.view.Store(&v)
+	next := make(chan struct{})
+	close(*k.changed.Swap(&next))
+}
+
+type node struct {
+	*wasabigateway.Gateway
+	address string
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	return ln
+}
+
+func newNode(t *testing.T, k *control, name, service, upstream string) *node {
+	t.Helper()
+	link, callers := listen(t), listen(t)
+	g, err := wasabigateway.New(
+		wasabigateway.NewSettings(name, service, upstream).WithHeaders(headers).WithLinkAddress(link.Addr().String()).
+			WithLocation(wasabistand.Location{Region: "r", FailureDomain: name}).WithDrainTime(0),
+		wasabigateway.Parts{
+			Directory: k, Announce: k.announce, Link: wasabilink.NewOptions("test", name, 1), Listener: link, Callers: callers,
+			Log: zerolog.Nop(), Random: rand.New(rand.NewPCG(1, 1)), Place: wasabiplace.NewOptions(), Incarnation: 1,
+			Admission: func(slots, queue int) wasabistand.Admission {
+				return wasabiadmission.New(wasabiadmission.NewOptions().WithLimit(slots).WithQueueLimit(queue))
+			},
+		})
+	assert.NilError(t, err)
+	g.Start()
+	t.Cleanup(func() { assert.NilError(t, g.Close()) })
+	return &node{Gateway: g, address: callers.Addr().String()}
+}
+
+// beat reports an instance and waits until control knows that it takes work.
+func (n *node) beat(t *testing.T, k *control, u *upstream, service string, slots int) {
+	t.Helper()
+	assert.NilError(t, n.Heartbeat(wasabiinstance.Report{ID: u.name, Born: 1, Sequence: 1, Service: service, Address: u.address, Slots: slots}))
+	for {
+		changed := k.Changed()
+		for _, i := range k.View().Instances[service] {
+			if i.TakesWork() && i.Slots == slots {
+				return
+			}
+		}
+		<-changed
+	}
+}
+
+func contracts(timeout time.Duration) *wasabistand.Contracts {
+	route := func(name string, kind wasabistand.RouteKind, service string) wasabistand.Route {
+		return wasabistand.Route{
+			Name: name, PathPrefix: "/" + name + "/", Kind: kind, Importance: wasabistand.Normal, Objective: time.Second,
+			Timeout: timeout, MaxAttempts: 2, Split: []wasabistand.WeightedService{{Service: service, Weight: 1}},
+		}
+	}
+	return &wasabistand.Contracts{
+		Hosts:     []wasabistand.Host{{Name: "h", Routes: []wasabistand.Route{route("read", wasabistand.Safe, "s"), route("book", wasabistand.Unsafe, "s"), route("other", wasabistand.Safe, "t")}}},
+		Upstreams: map[string]wasabistand.UpstreamContract{"s": {Service: "s", HealthPath: "/health", MaxConnections: 100}},
+		Clients:   wasabistand.ClientLimits{MaxHeaderBytes: 4096, MaxBodyBytes: 4 << 20, HeaderTimeout: time.Minute, IdleTimeout: time.Minute},
+	}
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   string
+}
+
+var client = &http.Client{Transport: &http.Transport{DisableCompression: true}}
+
+func (n *node) call(t *testing.T, method, path, id, body string) reply {
+	t.Helper()
+	r, err := http.NewRequest(method, "http://"+n.address+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	r.Host = "h"
+	r.Header.Set("Id", id)
+	a, err := client.Do(r)
+	assert.NilError(t, err)
+	defer a.Body.Close()
+	b, err := io.ReadAll(a.Body)
+	assert.NilError(t, err)
+	return reply{a.StatusCode, a.Header, string(b)}
+}
+
+// Guards against a request that is changed on its way through two nodes, a body
+// that is cut or mixed up, and fields of the system that a caller can forge.
+func TestRequestsPassUnchanged(t *testing.T) {
+	k := newControl(contracts(time.Minute))
+	u := newUpstream(t, "i", func(r *http.Request, body string) string {
+		assert.Check(t, r.Header.Get("From") == "t" && r.Header.Get("Meant-For") == "i" && r.Host == "h" && r.Header.Get("Patience-Ms") != "")
+		assert.Check(t, r.Header.Get("User-Agent") != "" && r.Header.Get("Accept-Encoding") == "")
+		return whole(r, r.Method+" "+r.RequestURI+" "+body)
+	})
+	entry := newNode(t, k, "entry", "t", "127.0.0.1:1")
+	newNode(t, k, "target", "s", u.address).beat(t, k, u, "s", 20)
+	var wait sync.WaitGroup
+	for i, size := range []int{0, 1, 4095, 4096, 70_000, 600_000, 2_000_000} {
+		wait.Go(func() {
+			body := strings.Repeat(fmt.Sprint(i), size)
+			a := entry.call(t, http.MethodPost, "/book/a%2fb?q=%20", fmt.Sprint(i), body)
+			assert.Check(t, a.status == 200 && a.header.Get("Id") == fmt.Sprint(i) && a.header.Get("Mark") == "m", "%d %s", a.status, a.header)
+			assert.Check(t, a.body == "POST /book/a%2fb?q=%20 "+body, "size %d: %d bytes", size, len(a.body))
+		})
+	}
+	wait.Wait()
+}
+
+// Guards against a request that runs twice, and against a promise that a
+// request did not run which the instance did not make.
+func TestOutcomes(t *testing.T) {
+	for _, test := range []struct {
+		name, method, path string
+		answers            []string
+		status, runs       int
+	}{
+		{"lost, may run again", "GET", "/read/x", []string{"", "ok"}, 200, 2},
+		{"lost twice", "GET", "/read/x", []string{"", "", "ok"}, 502, 2},
+		{"lost, at most once", "POST", "/book/x", []string{"", "ok"}, 502, 1},
+		{"not run, at most once", "POST", "/book/x", []string{"HTTP/1.1 503 X\r\nId: 1\r\nUntouched: 1\r\nContent-Length: 0\r\n\r\n", "ok"}, 200, 2},
+		{"busy without a promise", "POST", "/book/x", []string{"HTTP/1.1 503 X\r\nId: 1\r\nContent-Length: 0\r\n\r\n", "ok"}, 502, 1},
+		{"another instance", "POST", "/book/x", []string{"HTTP/1.1 421 X\r\nId: 1\r\nContent-Length: 0\r\n\r\n", "ok"}, 200, 2},
+		{"a failure of its own", "POST", "/book/x", []string{"HTTP/1.1 500 X\r\nId: 1\r\nMark: m\r\nContent-Length: 0\r\n\r\n", "ok"}, 500, 1},
+		{"no mark", "POST", "/book/x", []string{"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 1\r\n\r\nx", "ok"}, 502, 1},
+		{"encoded", "POST", "/book/x", []string{"HTTP/1.1 200 OK\r\nId: 1\r\nMark: m\r\nContent-Encoding: gzip\r\nContent-Length: 1\r\n\r\nx", "ok"}, 502, 1},
+		{"cut body", "POST", "/book/x", []string{"HTTP/1.1 200 OK\r\nId: 1\r\nMark: m\r\nContent-Length: 9\r\n\r\nx" + "!", "ok"}, 502, 1},
+		{"shed by all", "POST", "/book/x", []string{"HTTP/1.1 503 X\r\nId: 1\r\nUntouched: 1\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 503 X\r\nId: 1\r\nUntouched: 1\r\nContent-Length: 0\r\n\r\n"}, 503, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			k := newControl(contracts(time.Minute))
+			var next atomic.Int64
+			script := func(r *http.Request, body string) string {
+				n := int(next.Add(1)) - 1
+				if n >= len(test.answers) || test.answers[n] == "ok" {
+					return whole(r, body)
+				}
+				return test.answers[n]
+			}
+			var all []*upstream
+			entry := newNode(t, k, "entry", "t", "127.0.0.1:1")
+			for _, name := range []string{"a", "b", "c"} {
+				u := newUpstream(t, name, script)
+				u.answer = func(r *http.Request, body string) string {
+					text := script(r, body)
+					if rest, cut := strings.CutSuffix(text, "!"); cut {
+						return rest
+					}
+					return text
+				}
+				newNode(t, k, name, "s", u.address).beat(t, k, u, "s", 5)
+				all = append(all, u)
+			}
+			if test.name == "cut body" {
+				// The upstream ends the connection after a short body.
+				for _, u := range all {
+					u.answer = func(r *http.Request, body string) string {
+						_ = script(r, body)
+						return ""
+					}
+				}
+			}
+			a := entry.call(t, test.method, test.path, "1", "")
+			runs := 0
+			for _, u := range all {
+				runs += len(u.seen())
+				assert.Assert(t, len(u.seen()) <= 1, "the same instance got it twice")
+			}
+			assert.Equal(t, runs, test.runs)
+			assert.Equal(t, a.status, test.status)
+			if a.status == 503 {
+				assert.Assert(t, a.header.Get("Retry-After") != "")
+			}
+			if a.status > 500 {
+				assert.Equal(t, a.header.Get("Mark"), "")
+			}
+		})
+	}
+}
+
+// Guards against a node that answers 404 before it knows any configuration, and
+// against one that counts as ready then.
+func TestNotReadyBeforeConfiguration(t *testing.T) {
+	n := newNode(t, newControl(nil), "entry", "t", "127.0.0.1:1")
+	assert.Assert(t, !n.Ready())
+	assert.Equal(t, n.call(t, http.MethodGet, "/read/x", "1", "").status, 503)
+	n = newNode(t, newControl(contracts(time.Minute)), "entry", "t", "127.0.0.1:1")
+	assert.Equal(t, n.call(t, http.MethodGet, "/nowhere/x", "1", "").status, 404)
+}
+
+// Guards against work for an instance that said it leaves, also for requests
+// that wait in its queue.
+func TestDrainEndsWaitingRequests(t *testing.T) {
+	k := newControl(contracts(time.Minute))
+	started, release := make(chan struct{}, 8), make(chan struct{})
+	u := newUpstream(t, "i", func(r *http.Request, body string) string {
+		started <- struct{}{}
+		<-release
+		return whole(r, body)
+	})
+	n := newNode(t, k, "node", "s", u.address)
+	n.beat(t, k, u, "s", 1)
+	first, second := make(chan reply, 1), make(chan reply, 1)
+	go func() { first <- n.call(t, http.MethodPost, "/book/x", "1", "") }()
+	<-started
+	go func() { second <- n.call(t, http.MethodPost, "/book/x", "2", "") }()
+	for n.Load().Waiting != 1 {
+		runtime.Gosched()
+	}
+	assert.NilError(t, n.Heartbeat(wasabiinstance.Report{ID: "i", Born: 1, Sequence: 2, Service: "s", Slots: 1, Leaving: true}))
+	assert.Equal(t, (<-second).status, 503)
+	close(release)
+	assert.Equal(t, (<-first).status, 200)
+	assert.DeepEqual(t, u.seen(), []string{"1"})
+}
+
+// Guards against work that goes on for a caller who has gone, and against a
+// request that must not be repeated and is broken off.
+func TestCallerGoes(t *testing.T) {
+	k := newControl(contracts(time.Minute))
+	started, release := make(chan string, 8), make(chan struct{})
+	u := newUpstream(t, "i", func(r *http.Request, body string) string {
+		started <- r.Header.Get("Id")
+		<-release
+		return whole(r, body)
+	})
+	n := newNode(t, k, "node", "s", u.address)
+	n.beat(t, k, u, "s", 1)
+	c, err := net.Dial("tcp", n.address)
+	assert.NilError(t, err)
+	_, err = io.WriteString(c, "POST /book/x HTTP/1.1\r\nHost: h\r\nId: 1\r\nContent-Length: 0\r\n\r\n")
+	assert.NilError(t, err)
+	assert.Equal(t, <-started, "1")
+	waiting, err := net.Dial("tcp", n.address)
+	assert.NilError(t, err)
+	_, err = io.WriteString(waiting, "POST /book/x HTTP/1.1\r\nHost: h\r\nId: 2\r\nContent-Length: 0\r\n\r\n")
+	assert.NilError(t, err)
+	for n.Load().Waiting != 1 {
+		runtime.Gosched()
+	}
+	assert.NilError(t, c.Close())
+	assert.NilError(t, waiting.Close())
+	for n.Load().Waiting != 0 {
+		runtime.Gosched()
+	}
+	// The slot is taken until the first one has ended at the upstream.
+	third := make(chan reply, 1)
+	go func() { third <- n.call(t, http.MethodGet, "/read/x", "3", "") }()
+	close(release)
+	assert.Equal(t, (<-third).status, 200)
+	for _, id := range u.seen() {
+		assert.Assert(t, id != "2", "the caller went while the request waited")
+	}
+}
--- a/internal/traffic/wasabigateway/run.go
+++ b/internal/traffic/wasabigateway/run.go
@@ -51,10 +51,13 @@
 		return g.withLoad(notRun(wasabistand.ReasonDeadline, "the patience ended, or the caller or the instance left, before the call ran"))
 	}
 	life, stop := context.WithDeadline(context.WithoutCancel(gone), a.deadline.Add(g.settings.answerGrace))
+	// A call that can't be repeated outlives its caller, not the node.
+	ends := g.life
 	if a.repeatable {
-		released := context.AfterFunc(gone, stop)
-		defer released()
+		ends = gone
 	}
+	released := context.AfterFunc(ends, stop)
+	defer released()
 	started := g.now()
 	out := g.forward(life, l, a)
 	took := g.now().Sub(started)
@@ -149,7 +152,7 @@
 		}
 		n, err := call.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			_ = call.Close()
 			ans.body, ans.length = body, int64(len(body))
 			return outcome{answer: ans, arrived: true}
