Serve metrics of the routed path

Cause: an on-call engineer had logs of the gateway and no counters. Change: counters by outcome, reason and distance, latency histograms, and gauges of the own upstream, on the third internal port of a node.

--- a/internal/process/wasabimesh/node.go
+++ b/internal/process/wasabimesh/node.go
@@ -11,6 +11,9 @@
 	"net/http"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rs/zerolog"
 
 	"github.com/wasabistand/wasabistand"
@@ -40,8 +43,8 @@
 	Cluster  string
 	Gateway  wasabigateway.Settings
 	Instance string
-	// Callers, Link, Ready and Reports are where the node listens.
-	Callers, Link, Ready, Reports string
+	// Callers, Link, Ready, Reports and Metrics are where the node listens.
+	Callers, Link, Ready, Reports, Metrics string
 	// Controls are link addresses of some control instances.
 	Controls []string
 	Location wasabistand.Location
@@ -79,6 +82,8 @@
 	// The wall clock makes the incarnation rise with each start without a disk.
 	incarnation := uint64(time.Now().UnixNano())
 	links := linkOptions(s.Cluster, s.Instance, incarnation, n.log)
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	link, err := net.Listen("tcp", s.Link)
 	if err != nil {
 		return err
@@ -94,7 +99,7 @@
 		Admission: func(slots, queue int) wasabistand.Admission {
 			return wasabiadmission.New(wasabiadmission.NewOptions().WithLimit(slots).WithQueueLimit(queue))
 		},
-		Incarnation: incarnation,
+		Incarnation: incarnation, Registerer: registry,
 	})
 	if err != nil {
 		return errors.Join(err, link.Close(), callers.Close())
@@ -103,7 +108,9 @@
 	n.session = wasabisession.New(sessionOptions(s.Controls), n.pool, n.gateway.Self(), recorder{n.log})
 	n.gateway.Start()
 	h := n.handlers(n.gateway)
-	for address, handler := range map[string]http.Handler{s.Ready: h.Ready, s.Reports: h.Reports} {
+	for address, handler := range map[string]http.Handler{
+		s.Ready: h.Ready, s.Reports: h.Reports, s.Metrics: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+	} {
 		server, err := serve(address, handler, n.log)
 		if err != nil {
 			return err
--- a/internal/traffic/wasabigateway/enter.go
+++ b/internal/traffic/wasabigateway/enter.go
@@ -279,6 +279,7 @@
 
 // learned records how an attempt ended for the placement.
 func (g *Gateway) learned(q *request, i wasabistand.Instance, out outcome) {
+	g.metrics.attempt(g, q.service, i, out)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.placer.Done(g.now(), q.service, i.ID, wasabiplace.Result{
@@ -308,12 +309,17 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.budget.Repeat(now, q.service)
+	if !g.budget.Repeat(now, q.service) {
+		return false
+	}
+	g.metrics.repeats.WithLabelValues(q.service).Inc()
+	return true
 }
 
 // deliver writes an upstream's answer to the caller.
 func (g *Gateway) deliver(q *request, out outcome) {
 	ans := out.answer
+	g.metrics.request(q, out, g.now().Sub(q.x.Received))
 	g.note("answered", &q.attempt, out)
 	if ans.rest == nil {
 		_ = q.x.Answer(ans.status, ans.headers, ans.body)
@@ -356,6 +362,7 @@
 		}
 		h["Retry-After"] = []string{strconv.FormatFloat(min(after, maxRetry).Seconds(), 'f', 3, 64)}
 	}
+	g.metrics.request(q, outcome{refusal: r}, g.now().Sub(q.x.Received))
 	g.journal.refused(q, status, r)
 	_ = q.x.Answer(status, h, []byte(r.Error()+"\n"))
 }
--- a/internal/traffic/wasabigateway/gateway.go
+++ b/internal/traffic/wasabigateway/gateway.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"github.com/wasabistand/wasabistand"
@@ -39,6 +40,8 @@
 	Place wasabiplace.Options
 	// Admission makes the queue in front of an instance with the given slots.
 	Admission func(slots, queue int) wasabistand.Admission
+	// Registerer takes the metrics, nil for none.
+	Registerer prometheus.Registerer
 	// Incarnation is that of the first announcement.
 	Incarnation uint64
 	// Now replaces the clock in tests.
@@ -58,6 +61,7 @@
 	parts    Parts
 	log      zerolog.Logger
 	journal  *journal
+	metrics  *metrics
 
 	config atomic.Pointer[inForce]
 	local  *local
@@ -103,6 +107,8 @@
 	g.server = wasabihttp.NewServer(g.enter, wasabihttp.Limits{
 		MaxHeaderBytes: 16 << 10, MaxBodyBytes: 64 << 20, HeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute,
 	}, s.maxConns)
+	g.metrics = newMetrics(g, p.Registerer)
+	g.journal.leftOut = g.metrics.lines
 	return g, nil
 }
 
--- a/internal/traffic/wasabigateway/journal.go
+++ b/internal/traffic/wasabigateway/journal.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"github.com/wasabistand/wasabistand"
@@ -22,6 +23,9 @@
 	log zerolog.Logger
 	now func() time.Time
 
+	// leftOut counts the lines that were not written.
+	leftOut *prometheus.CounterVec
+
 	mu     sync.Mutex
 	second int64
 	kinds  map[string]*lineCount
@@ -58,6 +62,9 @@
 // report writes what was left out. The mutex is held.
 func (j *journal) report() {
 	for kind, c := range j.kinds {
+		if c.left > 0 && j.leftOut != nil {
+			j.leftOut.WithLabelValues(kind).Add(float64(c.left))
+		}
 		if c.left > 0 && kind != "answered" && kind != "served" {
 			j.log.Info().Str("Kind", kind).Int("Lines", c.left).Msg("lines left out")
 		}
--- a/internal/traffic/wasabigateway/run.go
+++ b/internal/traffic/wasabigateway/run.go
@@ -69,6 +69,7 @@
 		g.gate.leave(id, took)
 	}
 	out.took = took
+	g.metrics.upstream.WithLabelValues(a.importance.String()).Observe(took.Seconds())
 	if out.answer != nil && out.answer.rest != nil {
 		closing := out.answer.close
 		out.answer.close = func() { closing(); done() }
