Send a call's opening and first frame in one write

Cause: each call between nodes cost a frame, a system call and a wake-up at both ends only to say what its stream carries; each end also held a read buffer of 4 KiB for a stream of two frames. Change: the first frame travels with the opening; stream buffers hold 512 B.

--- a/internal/traffic/wasabigateway/relay.go
+++ b/internal/traffic/wasabigateway/relay.go
@@ -30,10 +30,13 @@
 		cancel()
 		return untouched(ctx, err)
 	}
-	stream, err := link.Open(wasabistandv1.StreamOpen_KIND_ROUTED)
+	stream, sent, err := link.OpenWith(ctx, wasabistandv1.StreamOpen_KIND_ROUTED, &wasabistandv1.CallFrame{Kind: &wasabistandv1.CallFrame_Start{Start: g.start(a)}})
 	if err != nil {
-		cancel()
-		return untouched(ctx, err)
+		defer cancel()
+		if !sent {
+			return untouched(ctx, err)
+		}
+		return lost(ctx, err)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(past) })
 	end := func() {
@@ -41,13 +44,6 @@
 		cancel()
 		_ = stream.Close()
 	}
-	if err := stream.Send(&wasabistandv1.CallFrame{Kind: &wasabistandv1.CallFrame_Start{Start: g.start(a)}}); err != nil {
-		end()
-		if !stream.Wrote() {
-			return untouched(ctx, err)
-		}
-		return lost(ctx, err)
-	}
 	if a.rest != nil {
 		g.background(func() { pump(stream, a.rest) })
 	}
--- a/wasabilink/link.go
+++ b/wasabilink/link.go
@@ -192,14 +192,10 @@
 // Open opens a stream of a kind. The stream's first frame is not yet sent to
 // the peer's handler when Open returns; an error means that nothing was sent.
 func (l *Link) Open(kind wasabistandv1.StreamOpen_Kind) (*Stream, error) {
-	if err := l.Err(); err != nil {
-		return nil, err
-	}
-	raw, err := l.session.OpenStream()
+	s, err := l.open()
 	if err != nil {
-		return nil, Error.Wrap(err)
+		return nil, err
 	}
-	s := newStream(l, raw)
 	if err := s.Send(&wasabistandv1.StreamOpen{Kind: kind}); err != nil {
 		_ = s.Close()
 		return nil, err
@@ -208,6 +204,34 @@
 	return s, nil
 }
 
+// OpenWith opens a stream of a kind and sends its first frame together with
+// the opening. With an error, sent tells whether the frame may have left. The
+// context ends a write that the peer does not read.
+func (l *Link) OpenWith(ctx context.Context, kind wasabistandv1.StreamOpen_Kind, first proto.Message) (s *Stream, sent bool, err error) {
+	if s, err = l.open(); err != nil {
+		return nil, false, err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = s.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if err := s.send(&wasabistandv1.StreamOpen{Kind: kind}, first); err != nil {
+		sent = s.Wrote()
+		_ = s.Close()
+		return nil, sent, err
+	}
+	return s, true, nil
+}
+
+func (l *Link) open() (*Stream, error) {
+	if err := l.Err(); err != nil {
+		return nil, err
+	}
+	raw, err := l.session.OpenStream()
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return newStream(l, raw), nil
+}
+
 // GoAway asks the peer to open no more streams.
 func (l *Link) GoAway(reason string) {
 	_ = l.control.Send(&wasabistandv1.LinkControl{Kind: &wasabistandv1.LinkControl_GoAway{GoAway: &wasabistandv1.LinkGoAway{Reason: reason}}})
--- a/wasabilink/stream.go
+++ b/wasabilink/stream.go
@@ -31,22 +31,35 @@
 	closeOne sync.Once
 }
 
+// streamBuffer holds the length of a frame and a small frame; large ones are
+// read past it. Each call makes a stream at both ends.
+const streamBuffer = 512
+
 func newStream(l *Link, raw *yamux.Stream) *Stream {
 	l.streams.Add(1)
 	l.touch()
-	return &Stream{link: l, raw: raw, reader: bufio.NewReaderSize(raw, 4096)}
+	return &Stream{link: l, raw: raw, reader: bufio.NewReaderSize(raw, streamBuffer)}
 }
 
 // Send writes one frame. It blocks while the peer's window is full.
-func (s *Stream) Send(m proto.Message) error {
+func (s *Stream) Send(m proto.Message) error { return s.send(m) }
+
+// send writes frames together.
+func (s *Stream) send(list ...proto.Message) error {
 	p := bufferPool.Get().(*[]byte)
-	size := proto.Size(m)
-	if size > s.link.options.maxFrameBytes {
-		bufferPool.Put(p)
-		return Error.New("frame of %d bytes, at most %d are allowed", size, s.link.options.maxFrameBytes)
+	b := (*p)[:0]
+	var err error
+	for _, m := range list {
+		size := proto.Size(m)
+		if size > s.link.options.maxFrameBytes {
+			bufferPool.Put(p)
+			return Error.New("frame of %d bytes, at most %d are allowed", size, s.link.options.maxFrameBytes)
+		}
+		b = binary.AppendUvarint(b, uint64(size))
+		if b, err = (proto.MarshalOptions{UseCachedSize: true}).MarshalAppend(b, m); err != nil {
+			break
+		}
 	}
-	b := binary.AppendUvarint((*p)[:0], uint64(size))
-	b, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(b, m)
 	if err == nil {
 		s.sendMu.Lock()
 		s.wrote.Store(true)
