Leave time for another instance when a queue is crowded

Change: a queue keeps a request for at most 0.4 of what is left of its patience; the entry then places it elsewhere. Test: TestCrowdedQueueLeavesTimeForAnother, which a bound equal to the patience fails.

--- a/internal/traffic/wasabigateway/run.go
+++ b/internal/traffic/wasabigateway/run.go
@@ -13,6 +13,7 @@
 
 	"github.com/wasabistand/wasabistand"
 	"github.com/wasabistand/wasabistand/internal/edge/wasabihttp"
+	"github.com/wasabistand/wasabistand/internal/policy/wasabiplace"
 )
 
 // named reports whether a Connection header names a field.
@@ -41,7 +42,7 @@
 	wait, cancel := context.WithDeadline(gone, a.deadline)
 	defer cancel()
 	id, refusal := g.gate.enter(wait, l.cut, wasabistand.Ticket{
-		Caller: a.origin, Importance: a.importance, Deadline: a.deadline, Cancellable: a.repeatable,
+		Caller: a.origin, Importance: a.importance, Deadline: g.waitUntil(a), Cancellable: a.repeatable,
 	})
 	if refusal != nil {
 		return g.withLoad(outcome{refusal: refusal})
@@ -82,6 +83,13 @@
 	return g.withLoad(out)
 }
 
+// waitUntil returns the deadline of an attempt for the queue, which keeps the
+// time that calls take from it.
+func (g *Gateway) waitUntil(a *attempt) time.Time {
+	now := g.now()
+	return now.Add(wasabiplace.WaitBound(a.deadline.Sub(now), g.gate.load().Service))
+}
+
 func (g *Gateway) withLoad(o outcome) outcome {
 	l := g.gate.load()
 	l.Leaving = g.local.leaving()
