End a stop in time although callers keep coming

A stopping node took requests until it ended, 0.5 s before the kill. Change: from seven twelfths of the grace time on, new requests are refused as not run; what is left ends at ten twelfths. Test: TestStopEndsUnderTraffic.

--- a/internal/traffic/wasabigateway/enter.go
+++ b/internal/traffic/wasabigateway/enter.go
@@ -83,6 +83,9 @@
 // its status.
 func (g *Gateway) prepare(q *request) (int, *wasabistand.Refusal) {
 	r := q.x.Request
+	if at := g.stopping.Load(); at != 0 && g.now().Sub(time.Unix(0, at)) > g.settings.refuseAfter {
+		return http.StatusServiceUnavailable, wasabistand.NewRefusal(wasabistand.ReasonLeaving, "the node stops").WithRetryAfter(retryNotReady)
+	}
 	c := g.config.Load()
 	if c == nil {
 		return http.StatusServiceUnavailable, wasabistand.NewRefusal(wasabistand.ReasonNotReady, "no configuration is confirmed yet").WithRetryAfter(retryNotReady)
--- a/internal/traffic/wasabigateway/gateway_test.go
+++ b/internal/traffic/wasabigateway/gateway_test.go
@@ -153,7 +153,7 @@
 	link, callers := listen(t), listen(t)
 	g, err := wasabigateway.New(
 		wasabigateway.NewSettings(name, service, upstream).WithHeaders(headers).WithLinkAddress(link.Addr().String()).
-			WithLocation(wasabistand.Location{Region: "r", FailureDomain: name}).WithDrainTime(0),
+			WithLocation(wasabistand.Location{Region: "r", FailureDomain: name}).WithDrainTime(0).WithGrace(600*time.Millisecond),
 		wasabigateway.Parts{
 			Directory: k, Announce: k.announce, Link: wasabilink.NewOptions("test", name, 1), Listener: link, Callers: callers,
 			Log: zerolog.Nop(), Random: rand.New(rand.NewPCG(1, 1)), Place: wasabiplace.NewOptions(), Incarnation: 1,
@@ -386,3 +386,35 @@
 		assert.Assert(t, id != "2", "the caller went while the request waited")
 	}
 }
+
+// Guards against a stop that never ends because callers keep coming, and
+// against one that cuts a request which was sent before it.
+func TestStopEndsUnderTraffic(t *testing.T) {
+	k := newControl(contracts(time.Minute))
+	started, release := make(chan struct{}, 100), make(chan struct{})
+	u := newUpstream(t, "i", func(r *http.Request, body string) string {
+		started <- struct{}{}
+		<-release
+		return whole(r, body)
+	})
+	n := newNode(t, k, "node", "s", u.address)
+	n.beat(t, k, u, "s", 5)
+	first := make(chan reply, 1)
+	go func() { first <- n.call(t, http.MethodPost, "/book/x", "1", "") }()
+	<-started
+	stopped := make(chan struct{})
+	go func() { defer close(stopped); n.Shutdown(t.Context()) }()
+	for n.Ready() {
+		runtime.Gosched()
+	}
+	for i := 0; ; i++ {
+		a := n.call(t, http.MethodGet, "/read/x", fmt.Sprint("late", i), "")
+		if a.status == 503 {
+			break
+		}
+		assert.Equal(t, a.status, 200)
+	}
+	close(release)
+	assert.Equal(t, (<-first).status, 200)
+	<-stopped
+}
--- a/internal/traffic/wasabigateway/settings.go
+++ b/internal/traffic/wasabigateway/settings.go
@@ -48,6 +48,7 @@
 	budgetWindow  time.Duration
 	budgetRatio   float64
 	acceptFor     time.Duration
+	refuseAfter   time.Duration
 	stopAfter     time.Duration
 	drainGrace    time.Duration
 	bodyBytes     int64
@@ -70,7 +71,9 @@
 		budgetRatio:  0.1,
 		// Callers turn elsewhere after two failed checks, one second apart.
 		acceptFor: 3 * time.Second,
-		stopAfter: 5 * time.Second,
+		// Whoever still comes is sent away, so that the stop ends.
+		refuseAfter: 3500 * time.Millisecond,
+		stopAfter:   5 * time.Second,
 		// Other nodes hear of a drain within this time; those that have not
 		// are refused as not run.
 		drainGrace: time.Second,
@@ -112,9 +115,9 @@
 }
 
 // WithGrace returns a copy that has d for a graceful stop: it takes requests
-// for half of it, and ends what is left before it is over.
+// for a part of it, and ends what is left while there is time to end in order.
 func (s Settings) WithGrace(d time.Duration) Settings {
-	s.acceptFor, s.stopAfter = d/2, d*11/12
+	s.acceptFor, s.refuseAfter, s.stopAfter = d/2, d*7/12, d*10/12
 	return s
 }
 
