--- a/wasabicontrol/cluster_test.go
+++ b/wasabicontrol/cluster_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"path/filepath"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -40,7 +41,10 @@
 	instances map[string]*wasabicontrol.Instance
 	// sides of a partition: control instances reach those of their own side;
 	// nodes reach all.
-	sides  map[string]*atomic.Int32
+	sides map[string]*atomic.Int32
+	// mu guards links and sides, which dialing goroutines read while instances
+	// are added.
+	mu     sync.Mutex
 	change func(wasabicontrol.Settings) wasabicontrol.Settings
 }
 
@@ -123,13 +127,16 @@
 // dial connects control instances of one side.
 func (c *cluster) dial(from string) wasabilink.DialFunc {
 	return func(ctx context.Context, address string) (net.Conn, error) {
-		to := c.sides[from]
+		c.mu.Lock()
+		own := c.sides[from]
+		to := own
 		for id, a := range c.links {
 			if a == address {
 				to = c.sides[id]
 			}
 		}
-		if c.sides[from].Load() != to.Load() {
+		c.mu.Unlock()
+		if own.Load() != to.Load() {
 			return nil, errIsolated
 		}
 		var d net.Dialer
@@ -137,7 +144,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &cut{Conn: conn, from: c.sides[from], to: to}, nil
+		return &cut{Conn: conn, from: own, to: to}, nil
 	}
 }
 
--- a/wasabicontrol/form_test.go
+++ b/wasabicontrol/form_test.go
@@ -20,10 +20,7 @@
 // members each. The last two are told to join.
 func formed(t *testing.T) *cluster {
 	t.Helper()
-	c := &cluster{t: t}
-	*c = *newCluster(t, 3, 0, func(s wasabicontrol.Settings) wasabicontrol.Settings { return s.WithFormation(2) })
-	// The cluster that was copied closes nothing that is started later.
-	t.Cleanup(c.close)
+	c := newCluster(t, 3, 0, func(s wasabicontrol.Settings) wasabicontrol.Settings { return s.WithFormation(2) })
 	for i := range 2 {
 		c.add(fmt.Sprintf("control-%d", i+4))
 	}
@@ -34,8 +31,10 @@
 func (c *cluster) add(id string) {
 	listeners := [2]net.Listener{listen(c.t), listen(c.t)}
 	c.ids = append(c.ids, id)
+	c.mu.Lock()
 	c.links[id], c.apis[id] = listeners[0].Addr().String(), listeners[1].Addr().String()
 	c.sides[id] = new(atomic.Int32)
+	c.mu.Unlock()
 	c.joins[id] = true
 	c.start(id, listeners)
 }
