--- a/internal/edge/wasabihttp/upstream_test.go
+++ b/internal/edge/wasabihttp/upstream_test.go
@@ -193,3 +193,46 @@
 	_, _, err = do(u, "2")
 	assert.ErrorIs(t, err, wasabihttp.ErrFull)
 }
+
+// Guards against the rest of a body that follows the next request: an upstream
+// may answer before it has read a long body, and keep the connection.
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	first := make(chan []byte, 1)
+	go func() {
+		for n := 0; ; n++ {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			r := bufio.NewReader(c)
+			q, err := http.ReadRequest(r)
+			if err != nil {
+				continue
+			}
+			_, _ = io.WriteString(c, ok(q.Header.Get("Id"), "early"))
+			if n == 0 {
+				rest, _ := io.ReadAll(r)
+				first <- rest
+			}
+			_ = c.Close()
+		}
+	}()
+	u := upstream(ln.Addr().String())
+	r := request("1")
+	body, writer := io.Pipe()
+	r.Method, r.Body, r.ContentLength = http.MethodPost, body, 1<<20
+	call, err := u.Do(t.Context(), r)
+	assert.NilError(t, err)
+	text, err := io.ReadAll(call)
+	assert.NilError(t, err)
+	assert.Equal(t, string(text), "early")
+	assert.NilError(t, call.Close())
+	_ = writer.CloseWithError(errors.New("the caller's body ended"))
+	assert.Equal(t, len(<-first), 0, "nothing but the first request may come on that connection")
+	_, second, err := do(u, "2")
+	assert.NilError(t, err)
+	assert.Equal(t, second, "early")
+}
--- a/internal/traffic/wasabigateway/gateway_test.go
+++ b/internal/traffic/wasabigateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -418,3 +419,28 @@
 	assert.Equal(t, (<-first).status, 200)
 	<-stopped
 }
+
+// Guards against a request that is held beyond its route's timeout, and against
+// an upstream that is handed more time than is left.
+func TestTimeoutOfTheRoute(t *testing.T) {
+	for _, test := range []struct {
+		method, path string
+		status       int
+	}{{http.MethodPost, "/book/x", 504}, {http.MethodGet, "/read/x", 504}} {
+		k := newControl(contracts(300 * time.Millisecond))
+		release, patience := make(chan struct{}), make(chan string, 4)
+		u := newUpstream(t, "i", func(r *http.Request, body string) string {
+			patience <- r.Header.Get("Patience-Ms")
+			<-release
+			return whole(r, body)
+		})
+		entry := newNode(t, k, "entry", "t", "127.0.0.1:1")
+		newNode(t, k, "target", "s", u.address).beat(t, k, u, "s", 5)
+		assert.Equal(t, entry.call(t, test.method, test.path, "1", "").status, test.status)
+		close(release)
+		ms, err := strconv.Atoi(<-patience)
+		assert.NilError(t, err)
+		assert.Assert(t, ms > 0 && ms <= 300, "%d", ms)
+		assert.Equal(t, len(u.seen()), 1)
+	}
+}
