--- a/internal/traffic/wasabigateway/attempt.go
+++ b/internal/traffic/wasabigateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/wasabistand/wasabistand"
@@ -80,6 +81,18 @@
 	"Proxy-Authorization": true, "Expect": true,
 }
 
+// named reports whether a Connection header names a field.
+func named(connection []string, name string) bool {
+	for _, v := range connection {
+		for _, f := range strings.Split(v, ",") {
+			if strings.EqualFold(strings.TrimSpace(f), name) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // endToEnd returns the fields of a header that are passed on.
 func endToEnd(h http.Header) []wasabistand.HeaderField {
 	list := make([]wasabistand.HeaderField, 0, len(h))
--- a/internal/traffic/wasabigateway/local.go
+++ b/internal/traffic/wasabigateway/local.go
@@ -26,8 +26,9 @@
 	upstreamDial = 500 * time.Millisecond
 	// defaultConnections stands for an upstream whose bound is not declared.
 	defaultConnections = 256
-	// silentHeartbeats is after how many lost heartbeats, of the usual pause
-	// of 1.5 s, an instance that can't be reached is announced as leaving.
+	// silentAfter is for how long an instance may be unreachable without a
+	// heartbeat, of which one comes each 1.5 s, before it is announced as
+	// leaving.
 	silentAfter = 5 * time.Second
 )
 
--- a/internal/traffic/wasabigateway/run.go
+++ b/internal/traffic/wasabigateway/run.go
@@ -16,18 +16,6 @@
 	"github.com/wasabistand/wasabistand/internal/policy/wasabiplace"
 )
 
-// named reports whether a Connection header names a field.
-func named(connection []string, name string) bool {
-	for _, v := range connection {
-		for _, f := range strings.Split(v, ",") {
-			if strings.EqualFold(strings.TrimSpace(f), name) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // minRun is the least time for which a call is passed on: what is left must
 // suffice for the way to the upstream and back.
 const minRun = 5 * time.Millisecond
