Let a test's late requests end at its upstream

A request that enters between the stop and the announcement that the instance leaves is rightly passed to the instance, and the test's upstream held it until the test had ended. Change: the upstream holds only the request that was sent before the stop. The checks are as they were: it must be answered whole, later ones with 200 or 503, and the stop must end. Conclusion: the fault was the test's.

--- a/internal/traffic/wasabigateway/gateway_test.go
+++ b/internal/traffic/wasabigateway/gateway_test.go
@@ -392,10 +392,12 @@
 // against one that cuts a request which was sent before it.
 func TestStopEndsUnderTraffic(t *testing.T) {
 	k := newControl(contracts(time.Minute))
-	started, release := make(chan struct{}, 100), make(chan struct{})
+	started, release := make(chan struct{}), make(chan struct{})
 	u := newUpstream(t, "i", func(r *http.Request, body string) string {
-		started <- struct{}{}
-		<-release
+		if r.Method == http.MethodPost {
+			close(started)
+			<-release
+		}
 		return whole(r, body)
 	})
 	n := newNode(t, k, "node", "s", u.address)
