--- /dev/null
+++ b/internal/traffic/wasabigateway/edge_test.go
@@ -0,0 +1,135 @@
+package wasabigateway_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a stop that never ends because callers keep coming, and
+// against one that cuts a request which was sent before it.
+func TestStopEndsUnderTraffic(t *testing.T) {
+	k := newControl(contracts(time.Minute))
+	started, release := make(chan struct{}), make(chan struct{})
+	u := newUpstream(t, "i", func(r *http.Request, body string) string {
+		if r.Method == http.MethodPost {
+			close(started)
+			<-release
+		}
+		return whole(r, body)
+	})
+	n := newNode(t, k, "node", "s", u.address)
+	n.beat(t, k, u, "s", 5)
+	first := make(chan reply, 1)
+	go func() { first <- n.call(t, http.MethodPost, "/book/x", "1", "") }()
+	<-started
+	stopped := make(chan struct{})
+	go func() { defer close(stopped); n.Shutdown(t.Context()) }()
+	for n.Ready() {
+		runtime.Gosched()
+	}
+	for i := 0; ; i++ {
+		a := n.call(t, http.MethodGet, "/read/x", fmt.Sprint("late", i), "")
+		if a.status == 503 {
+			break
+		}
+		assert.Equal(t, a.status, 200)
+	}
+	close(release)
+	assert.Equal(t, (<-first).status, 200)
+	<-stopped
+}
+
+// Guards against a request that is held beyond its route's timeout, and against
+// an upstream that is handed more time than is left.
+func TestTimeoutOfTheRoute(t *testing.T) {
+	for _, test := range []struct {
+		method, path string
+		status       int
+	}{{http.MethodPost, "/book/x", 504}, {http.MethodGet, "/read/x", 504}} {
+		k := newControl(contracts(300 * time.Millisecond))
+		release, patience := make(chan struct{}), make(chan string, 4)
+		u := newUpstream(t, "i", func(r *http.Request, body string) string {
+			patience <- r.Header.Get("Patience-Ms")
+			<-release
+			return whole(r, body)
+		})
+		entry := newNode(t, k, "entry", "t", "127.0.0.1:1")
+		newNode(t, k, "target", "s", u.address).beat(t, k, u, "s", 5)
+		assert.Equal(t, entry.call(t, test.method, test.path, "1", "").status, test.status)
+		close(release)
+		ms, err := strconv.Atoi(<-patience)
+		assert.NilError(t, err)
+		assert.Assert(t, ms > 0 && ms <= 300, "%d", ms)
+		assert.Equal(t, len(u.seen()), 1)
+	}
+}
+
+// Guards against a malformed patience that lets a request wait without end, or
+// that refuses a proper one.
+func TestMalformedPatience(t *testing.T) {
+	k := newControl(contracts(time.Minute))
+	u := newUpstream(t, "i", whole)
+	n := newNode(t, k, "node", "s", u.address)
+	n.beat(t, k, u, "s", 5)
+	for value, status := range map[string]int{
+		"": 200, "5000": 200, "999999999999": 200, "9223372036854775807": 200,
+		"0": 503, "-1": 503, "abc": 400, "1.5": 400, "99999999999999999999": 400,
+	} {
+		c, err := net.Dial("tcp", n.address)
+		assert.NilError(t, err)
+		field := ""
+		if value != "" {
+			field = "Patience-Ms: " + value + "\r\n"
+		}
+		_, err = io.WriteString(c, "GET /read/x HTTP/1.1\r\nHost: h\r\nId: 1\r\n"+field+"\r\n")
+		assert.NilError(t, err)
+		a, err := http.ReadResponse(bufio.NewReader(c), nil)
+		assert.NilError(t, err)
+		assert.NilError(t, a.Body.Close())
+		assert.Equal(t, a.StatusCode, status, "%q", value)
+		assert.NilError(t, c.Close())
+	}
+}
+
+// Guards against a pipelined request that is lost or answered wrongly behind
+// one that fails.
+func TestPipelinedBehindAFailure(t *testing.T) {
+	k := newControl(contracts(time.Minute))
+	u := newUpstream(t, "i", func(r *http.Request, body string) string {
+		if r.Header.Get("Id") == "1" {
+			return ""
+		}
+		return whole(r, r.Header.Get("Id"))
+	})
+	n := newNode(t, k, "node", "s", u.address)
+	n.beat(t, k, u, "s", 5)
+	c, err := net.Dial("tcp", n.address)
+	assert.NilError(t, err)
+	defer c.Close()
+	for id, path := range []string{"/none/x", "/read/x", "/read/x", "/read/x"} {
+		_, err = fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\nId: %d\r\n\r\n", path, id)
+		assert.NilError(t, err)
+	}
+	r := bufio.NewReader(c)
+	for id, status := range []int{404, 502, 200, 200} {
+		a, err := http.ReadResponse(r, nil)
+		assert.NilError(t, err)
+		b, err := io.ReadAll(a.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, a.Body.Close())
+		assert.Equal(t, a.StatusCode, status)
+		assert.Equal(t, a.Header.Get("Id"), fmt.Sprint(id))
+		if status == 200 {
+			assert.Equal(t, string(b), fmt.Sprint(id))
+		}
+	}
+}
