Read the newest list before a refusal, and pay for repeats that are sent

The entry had taken over the first of three announcements only, so it knew of no second instance. A second fault showed in the new test: the budget was charged for a repeat before an instance was found for it, so a repeat that was never sent kept a later one from being made. Ruled out: the upstream's answer and the budget's bound; both were as expected. Change: before a refusal for want of an instance the node takes over what control has told meanwhile; the budget is charged once an instance is chosen.

--- a/internal/traffic/wasabigateway/edge_test.go
+++ b/internal/traffic/wasabigateway/edge_test.go
@@ -133,3 +133,21 @@
 		}
 	}
 }
+
+// Guards against a refusal for want of instances while control has told of
+// another one that the node has not taken over yet.
+func TestListIsReadBeforeARefusal(t *testing.T) {
+	k := newControl(contracts(time.Minute))
+	sheds := newUpstream(t, "a", func(r *http.Request, _ string) string {
+		return "HTTP/1.1 503 X\r\nId: " + r.Header.Get("Id") + "\r\nUntouched: 1\r\nContent-Length: 0\r\n\r\n"
+	})
+	serves := newUpstream(t, "b", whole)
+	entry := newNode(t, k, "entry", "t", "127.0.0.1:1")
+	newNode(t, k, "a", "s", sheds.address).beat(t, k, sheds, "s", 5)
+	assert.Equal(t, entry.call(t, http.MethodPost, "/book/x", "1", "").status, http.StatusServiceUnavailable)
+	elsewhere := newControl(contracts(time.Minute))
+	newNode(t, elsewhere, "b", "s", serves.address).beat(t, elsewhere, serves, "s", 5)
+	k.silent.Store(true)
+	k.announce(elsewhere.View().Instances["s"][0])
+	assert.Equal(t, entry.call(t, http.MethodPost, "/book/x", "2", "").status, http.StatusOK)
+}
--- a/internal/traffic/wasabigateway/enter.go
+++ b/internal/traffic/wasabigateway/enter.go
@@ -35,6 +35,8 @@
 	tried    []string
 	arrived  int
 	refused  int
+	// paid counts the repeats that the budget was charged for.
+	paid int
 	// uncertain says that an earlier attempt may have run.
 	uncertain bool
 }
@@ -259,17 +261,19 @@
 	return o
 }
 
+// pick chooses the instance of the next attempt.
 func (g *Gateway) pick(q *request) (wasabistand.Instance, *wasabistand.Refusal) {
 	now := g.now()
 	if !now.Before(q.deadline) {
 		return wasabistand.Instance{}, wasabistand.NewRefusal(wasabistand.ReasonDeadline, "the patience ended")
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	c, err := g.placer.Pick(now, wasabiplace.Query{
-		Service: q.service, Kind: q.route.Name, Exclude: q.tried, Remaining: q.deadline.Sub(now),
-		Once: !q.attempt.repeatable || q.arrived+1 >= q.route.MaxAttempts, Spare: g.budget.Spare(now, q.service),
-	})
+	c, err := g.place(now, q)
+	if err != nil {
+		// Control may have told of further instances that follow has not taken
+		// over yet.
+		g.update(g.parts.Directory.View())
+		c, err = g.place(now, q)
+	}
 	if err != nil {
 		var refusal *wasabistand.Refusal
 		if !errors.As(err, &refusal) {
@@ -280,6 +284,26 @@
 	return c.Instance, nil
 }
 
+// place chooses an instance and charges the budget for a repeat that has one.
+func (g *Gateway) place(now time.Time, q *request) (wasabiplace.Choice, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	repeat := q.paid < q.arrived
+	if repeat && g.budget.Left(now, q.service) < 1 {
+		return wasabiplace.Choice{}, wasabistand.NewRefusal(wasabistand.ReasonNoInstance, "the budget of repeats is used up")
+	}
+	c, err := g.placer.Pick(now, wasabiplace.Query{
+		Service: q.service, Kind: q.route.Name, Exclude: q.tried, Remaining: q.deadline.Sub(now),
+		Once: !q.attempt.repeatable || q.arrived+1 >= q.route.MaxAttempts, Spare: g.budget.Spare(now, q.service),
+	})
+	if err == nil && repeat {
+		g.budget.Repeat(now, q.service)
+		g.metrics.repeats.WithLabelValues(q.service).Inc()
+		q.paid++
+	}
+	return c, err
+}
+
 // learned records how an attempt ended for the placement.
 func (g *Gateway) learned(q *request, i wasabistand.Instance, out outcome) {
 	g.metrics.attempt(g, q.service, i, out)
@@ -291,8 +315,7 @@
 	})
 }
 
-// again reports whether a request may be sent to another instance, and pays
-// for it.
+// again reports whether a request may be sent to another instance.
 func (g *Gateway) again(ctx context.Context, q *request, out outcome) bool {
 	r := out.refusal
 	now := g.now()
@@ -312,11 +335,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.budget.Repeat(now, q.service) {
-		return false
-	}
-	g.metrics.repeats.WithLabelValues(q.service).Inc()
-	return true
+	return g.budget.Left(now, q.service) >= 1
 }
 
 // deliver writes an upstream's answer to the caller.
--- a/internal/traffic/wasabigateway/gateway_test.go
+++ b/internal/traffic/wasabigateway/gateway_test.go
@@ -99,6 +99,8 @@
 	mu      sync.Mutex
 	view    atomic.Pointer[wasabistand.View]
 	changed atomic.Pointer[chan struct{}]
+	// silent keeps announcements from being signalled.
+	silent atomic.Bool
 }
 
 func newControl(c *wasabistand.Contracts) *control {
@@ -132,6 +134,9 @@
 	all[i.Service] = append(all[i.Service], i)
 	v.Instances = all
 	k.view.Store(&v)
+	if k.silent.Load() {
+		return
+	}
 	next := make(chan struct{})
 	close(*k.changed.Swap(&next))
 }
