Send a call's frames in one write, and ping only quiet links

Cause: a request between two nodes took six packets: an opening, a call, its acceptance, an answer and two closings, each written alone and each waking the other node. Nearly every request on a link that had been idle for half a second sent a ping besides, and each link had a timer of its own. Change: frames that only open, accept or close a stream wait for the next one; what is written at about the same time leaves in one write. A stream on which nothing is due any more is closed with the next frame. Whatever comes from a peer saves a ping; beats of all links fall on the same moment.

--- a/internal/process/wasabimesh/node.go
+++ b/internal/process/wasabimesh/node.go
@@ -28,7 +28,7 @@
 // Times of links. A silent peer is left before a caller's usual patience ends,
 // and pings stay rare against the calls.
 const (
-	linkPing    = 500 * time.Millisecond
+	linkPing    = 250 * time.Millisecond
 	linkSuspect = time.Second
 	linkSilent  = 1500 * time.Millisecond
 	linkIdle    = 10 * time.Second
--- a/internal/traffic/wasabigateway/relay.go
+++ b/internal/traffic/wasabigateway/relay.go
@@ -47,7 +47,11 @@
 	if a.rest != nil {
 		g.background(func() { pump(stream, a.rest) })
 	}
-	out := g.receive(ctx, stream, end)
+	out, whole := g.receive(ctx, stream, end)
+	if whole && a.rest == nil {
+		// The other node has nothing left to do for the request.
+		stream.Finish()
+	}
 	if out.answer == nil || out.answer.rest == nil {
 		end()
 	}
@@ -129,34 +133,35 @@
 	return &wasabistandv1.CallFrame{Kind: &wasabistandv1.CallFrame_End{End: e}}
 }
 
-// receive reads an answer's head, and its body as far as it is held.
-func (g *Gateway) receive(ctx context.Context, stream *wasabilink.Stream, end func()) outcome {
+// receive reads an answer's head, and its body as far as it is held. It
+// reports whether that is all that the other node sends.
+func (g *Gateway) receive(ctx context.Context, stream *wasabilink.Stream, end func()) (out outcome, whole bool) {
 	var frame wasabistandv1.CallFrame
 	if err := stream.Receive(&frame); err != nil {
-		return lost(ctx, err)
+		return lost(ctx, err), false
 	}
 	switch k := frame.Kind.(type) {
 	case *wasabistandv1.CallFrame_Refusal:
-		return g.refused(k.Refusal)
+		return g.refused(k.Refusal), true
 	case *wasabistandv1.CallFrame_Answer:
 		m := k.Answer
 		status := int(m.GetStatus())
 		if status < 200 || status > 999 {
-			return broken("answer with status %d", status)
+			return broken("answer with status %d", status), false
 		}
 		ans := &answer{status: status, headers: http.Header{}, length: m.GetContentLength(), body: m.GetBody()}
 		for _, h := range wasabiwire.ToHeaders(m.GetHeaders()) {
 			ans.headers[h.Name] = append(ans.headers[h.Name], h.Value)
 		}
-		out := outcome{answer: ans, arrived: true, load: wasabiwire.ToLoad(m.GetLoad()), took: time.Duration(m.GetServiceUs()) * time.Microsecond}
+		out = outcome{answer: ans, arrived: true, load: wasabiwire.ToLoad(m.GetLoad()), took: time.Duration(m.GetServiceUs()) * time.Microsecond}
 		if m.GetWhole() {
 			ans.length = int64(len(ans.body))
-			return out
+			return out, true
 		}
 		ans.rest, ans.close = &frameReader{stream: stream, total: uint64(len(ans.body))}, end
-		return out
+		return out, false
 	default:
-		return broken("frame %T", frame.Kind)
+		return broken("frame %T", frame.Kind), false
 	}
 }
 
--- a/internal/traffic/wasabigateway/serve.go
+++ b/internal/traffic/wasabigateway/serve.go
@@ -65,13 +65,16 @@
 	out := g.run(gone, a)
 	g.note("served", a, out)
 	g.finish(stream, out)
-	_ = stream.SetDeadline(time.Now().Add(endTimeout))
 	if a.rest != nil {
+		_ = stream.SetDeadline(time.Now().Add(endTimeout))
 		var more wasabistandv1.CallFrame
 		for stream.Receive(&more) == nil {
 			continue
 		}
+		return
 	}
+	// The end of the stream follows the answer at once.
+	_ = stream.SetDeadline(past)
 	<-closed
 }
 
--- a/wasabilink/frame.go
+++ b/wasabilink/frame.go
@@ -3,41 +3,168 @@
 import (
 	"encoding/binary"
 	"net"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"time"
 )
 
 // Layout of a yamux frame header: version, type, flags, stream, length.
 const (
-	headerBytes  = 12
-	typeOffset   = 1
-	typeData     = 0
-	lengthOffset = 8
+	headerBytes      = 12
+	typeOffset       = 1
+	typeData         = 0
+	typeWindowUpdate = 1
+	flagsOffset      = 2
+	lengthOffset     = 8
+	flagsLazy        = flagSYN | flagACK | flagFIN
+	flagSYN          = 1
+	flagACK          = 2
+	flagFIN          = 4
 )
 
-// frameConn sends a frame's header and body by one system call. yamux writes
-// them apart, which without Nagle's algorithm costs two calls and two packets
-// for each frame. yamux writes from one goroutine.
+const (
+	// pendingBytes bounds what waits for the connection: a peer that does not
+	// read blocks the writer.
+	pendingBytes = 64 << 10
+	// flushTimeout bounds the last write of a connection that closes.
+	flushTimeout = 100 * time.Millisecond
+)
+
+// frameConn sends frames that are written at about the same time by one system
+// call and, mostly, in one packet. Frames that only open, accept or close a
+// stream wait for the next other one or for Flush: an opening is followed by a
+// call, and its acceptance by an answer.
 type frameConn struct {
 	net.Conn
-	header [headerBytes]byte
-	held   bool
-	parts  [2][]byte
+	// heard is when bytes last came, in Unix nanoseconds.
+	heard atomic.Int64
+
+	mu       sync.Mutex
+	drained  sync.Cond
+	pending  []byte
+	spare    []byte
+	body     int // bytes of the current frame that are still to come
+	flushing bool
+	closed   bool
+	err      error
+	wait     sync.WaitGroup
 }
 
-func newFrameConn(c net.Conn) *frameConn { return &frameConn{Conn: c} }
+func newFrameConn(c net.Conn) *frameConn {
+	f := &frameConn{Conn: c}
+	f.drained.L = &f.mu
+	f.heard.Store(time.Now().UnixNano())
+	return f
+}
+
+// Read implements net.Conn.
+func (c *frameConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.heard.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
 
-// Write holds back the header of a frame that has a body until the body comes.
+// Write takes a frame's header or body. It blocks while too much is pending.
+// An error of the connection is returned by a later call.
 func (c *frameConn) Write(p []byte) (int, error) {
-	if !c.held {
-		if len(p) == headerBytes && p[typeOffset] == typeData && binary.BigEndian.Uint32(p[lengthOffset:]) > 0 {
-			copy(c.header[:], p)
-			c.held = true
-			return len(p), nil
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for len(c.pending) >= pendingBytes && c.err == nil {
+		c.flush()
+		c.drained.Wait()
+	}
+	if c.err != nil {
+		return 0, c.err
+	}
+	c.pending = append(c.pending, p...)
+	if c.body > 0 {
+		c.body = max(c.body-len(p), 0)
+		if c.body == 0 {
+			c.flush()
 		}
-		return c.Conn.Write(p)
+		return len(p), nil
+	}
+	length := 0
+	if len(p) == headerBytes {
+		length = int(binary.BigEndian.Uint32(p[lengthOffset:]))
+	}
+	switch {
+	case len(p) == headerBytes && p[typeOffset] == typeData && length > 0:
+		c.body = length
+	case len(p) == headerBytes && p[typeOffset] == typeWindowUpdate && length == 0 && lazy(binary.BigEndian.Uint16(p[flagsOffset:])):
+	default:
+		c.flush()
+	}
+	return len(p), nil
+}
+
+// lazy reports whether flags only open, accept or close a stream.
+func lazy(flags uint16) bool { return flags != 0 && flags&^flagsLazy == 0 }
+
+// Flush sends what is pending soon.
+func (c *frameConn) Flush() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.pending) > 0 && c.body == 0 && c.err == nil {
+		c.flush()
+	}
+}
+
+// flush starts the writing unless it runs. The mutex is held.
+func (c *frameConn) flush() {
+	if c.flushing || c.closed {
+		return
+	}
+	c.flushing = true
+	c.wait.Go(c.drain)
+}
+
+// drain writes until nothing is pending.
+func (c *frameConn) drain() {
+	// Goroutines that are ready to write more do so first.
+	runtime.Gosched()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for len(c.pending) > 0 && c.err == nil {
+		b := c.pending
+		c.pending, c.spare = c.spare[:0], nil
+		c.drained.Broadcast()
+		c.mu.Unlock()
+		_, err := c.Conn.Write(b)
+		c.mu.Lock()
+		c.spare = b[:0]
+		if err != nil {
+			c.fail(err)
+		}
+	}
+	c.flushing = false
+}
+
+// fail ends all writing. The mutex is held.
+func (c *frameConn) fail(err error) {
+	c.err = err
+	c.drained.Broadcast()
+}
+
+// Close sends what is pending, if the peer takes it, and closes the
+// connection.
+func (c *frameConn) Close() error {
+	_ = c.SetWriteDeadline(time.Now().Add(flushTimeout))
+	c.mu.Lock()
+	if len(c.pending) > 0 && c.err == nil {
+		c.flush()
+	}
+	c.closed = true
+	c.mu.Unlock()
+	c.wait.Wait()
+	err := c.Conn.Close()
+	c.mu.Lock()
+	if c.err == nil {
+		c.fail(net.ErrClosed)
 	}
-	c.held = false
-	c.parts = [2][]byte{c.header[:], p}
-	buffers := net.Buffers(c.parts[:])
-	n, err := buffers.WriteTo(c.Conn)
-	return max(int(n)-headerBytes, 0), err
+	c.mu.Unlock()
+	return err
 }
--- a/wasabilink/link.go
+++ b/wasabilink/link.go
@@ -37,17 +37,20 @@
 type Link struct {
 	options Options
 	address string
+	conn    *frameConn
 	session *yamux.Session
 	control *Stream
 	peer    Peer
 	handler Handler
 
-	streams  atomic.Int64
-	lastUse  atomic.Int64
-	lastPong atomic.Int64
-	pinged   atomic.Int64 // time of the oldest unanswered ping, 0 for none
-	goneAway atomic.Bool
-	probe    chan struct{}
+	streams atomic.Int64
+	lastUse atomic.Int64
+	// usedSince is when streams were opened after there was none.
+	usedSince atomic.Int64
+	// quietSince is since when the peer has said nothing, of an unanswered
+	// ping, 0 for none.
+	quietSince atomic.Int64
+	goneAway   atomic.Bool
 
 	ctx       context.Context
 	cancel    context.CancelCauseFunc
@@ -60,7 +63,10 @@
 	c.EnableKeepAlive = false
 	c.AcceptBacklog = 1024
 	c.ConnectionWriteTimeout = 5 * time.Second
-	c.StreamCloseTimeout = 10 * time.Second
+	// A closing frame may wait for the next ping of an idle link.
+	c.StreamCloseTimeout = 2*o.idleHeartbeat + c.ConnectionWriteTimeout
+	// The link's own pings find a peer that does not answer.
+	c.StreamOpenTimeout = 0
 	c.LogOutput = io.Discard
 	return c
 }
@@ -83,12 +89,13 @@
 	if client {
 		open = yamux.Client
 	}
-	session, err := open(newFrameConn(conn), yamuxConfig(o))
+	frames := newFrameConn(conn)
+	session, err := open(frames, yamuxConfig(o))
 	if err != nil {
 		_ = conn.Close()
 		return nil, Error.Wrap(err)
 	}
-	l := &Link{options: o, address: address, session: session, handler: h, probe: make(chan struct{}, 1)}
+	l := &Link{options: o, address: address, conn: frames, session: session, handler: h}
 	l.ctx, l.cancel = context.WithCancelCause(context.Background())
 	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
 	err = l.hello(client, deadline)
@@ -100,9 +107,7 @@
 		_ = session.Close()
 		return nil, Error.Wrap(err)
 	}
-	now := time.Now().UnixNano()
-	l.lastPong.Store(now)
-	l.lastUse.Store(now)
+	l.lastUse.Store(time.Now().UnixNano())
 	l.wait.Add(3)
 	go l.readControl()
 	go l.beat()
@@ -175,10 +180,11 @@
 	return context.Cause(l.ctx)
 }
 
-// Suspect reports whether a ping has gone unanswered for too long.
+// Suspect reports whether the peer has not answered a ping and has said nothing
+// for too long.
 func (l *Link) Suspect() bool {
-	p := l.pinged.Load()
-	return p != 0 && time.Since(time.Unix(0, p)) >= l.options.suspect
+	q := l.quietSince.Load()
+	return q != 0 && time.Since(time.Unix(0, q)) >= l.options.suspect
 }
 
 // Usable reports whether new streams should be opened on the link.
@@ -254,17 +260,6 @@
 	})
 }
 
-// touch asks for a ping soon when the link was idle, so that a link that went
-// silent while idle is found within the silent time of its next use.
-func (l *Link) touch() {
-	if time.Since(time.Unix(0, l.lastPong.Load())) >= l.options.heartbeat {
-		select {
-		case l.probe <- struct{}{}:
-		default:
-		}
-	}
-}
-
 func (l *Link) acceptStreams() {
 	defer l.wait.Done()
 	for {
@@ -307,54 +302,95 @@
 			}
 		case *wasabistandv1.LinkControl_Pong:
 			l.observe(k.Pong.Time)
-			l.lastPong.Store(time.Now().UnixNano())
-			l.pinged.Store(0)
+			l.quietSince.Store(0)
 		case *wasabistandv1.LinkControl_GoAway:
 			l.goneAway.Store(true)
 		}
 	}
 }
 
+// started is what the beats of all links of the process are aligned to, so
+// that one wake-up serves them all.
+var started = time.Now()
+
+// beat pings the peer while it owes an answer and says nothing, and ends the
+// link once a ping stays unanswered. Whatever comes saves a ping.
 func (l *Link) beat() {
 	defer l.wait.Done()
-	t := time.NewTicker(l.options.heartbeat)
+	every := l.options.heartbeat
+	first := time.NewTimer(every - time.Since(started)%every)
+	defer first.Stop()
+	select {
+	case <-l.ctx.Done():
+		return
+	case <-first.C:
+	}
+	t := time.NewTicker(every)
 	defer t.Stop()
-	var sequence uint64
-	for {
-		select {
-		case <-l.ctx.Done():
-			return
-		case <-t.C:
-		case <-l.probe:
-		}
+	for sequence := uint64(1); ; {
 		now := time.Now()
-		if p := l.pinged.Load(); p != 0 {
-			if now.Sub(time.Unix(0, p)) >= l.options.silent {
-				if l.options.onSilent != nil {
-					l.options.onSilent(l.address)
-				}
-				l.end(ErrSilent.New("%s did not answer for %v", l, l.options.silent))
+		switch l.duty(now) {
+		case dutyEnd:
+			if l.options.onSilent != nil {
+				l.options.onSilent(l.address)
+			}
+			l.end(ErrSilent.New("%s did not answer for %v", l, l.options.silent))
+			return
+		case dutyPing:
+			if err := l.ping(now, sequence); err != nil {
+				l.end(Error.Wrap(err))
 				return
 			}
-			continue
+			sequence++
+		case dutyNone:
 		}
-		since := now.Sub(time.Unix(0, l.lastPong.Load()))
-		if l.streams.Load() == 0 && since < l.options.idleHeartbeat {
-			continue
-		}
-		sequence++
-		l.pinged.Store(now.UnixNano())
-		// A silent peer may also stop reading; the send must not hold up the
-		// detection.
-		_ = l.control.raw.SetWriteDeadline(now.Add(l.options.silent))
-		var ping proto.Message = &wasabistandv1.LinkControl{Kind: &wasabistandv1.LinkControl_Ping{Ping: &wasabistandv1.LinkPing{Sequence: sequence, Time: l.now()}}}
-		if err := l.control.Send(ping); err != nil {
-			l.end(Error.Wrap(err))
+		select {
+		case <-l.ctx.Done():
 			return
+		case <-t.C:
 		}
 	}
 }
 
+type duty int
+
+const (
+	dutyNone duty = iota
+	dutyPing
+	dutyEnd
+)
+
+// duty tells what a beat has to do.
+func (l *Link) duty(now time.Time) duty {
+	if q := l.quietSince.Load(); q != 0 {
+		if now.Sub(time.Unix(0, q)) >= l.options.silent {
+			return dutyEnd
+		}
+		return dutyNone
+	}
+	heard := l.conn.heard.Load()
+	quiet, bound := heard, l.options.idleHeartbeat
+	if l.streams.Load() > 0 {
+		quiet, bound = max(heard, l.usedSince.Load()), l.options.heartbeat
+	}
+	if now.Sub(time.Unix(0, quiet)) < bound {
+		return dutyNone
+	}
+	if l.streams.Load() == 0 {
+		// Nobody waits for the peer yet.
+		quiet = now.UnixNano()
+	}
+	l.quietSince.Store(quiet)
+	return dutyPing
+}
+
+// ping sends one ping. A silent peer may also stop reading; the send must not
+// hold up the detection.
+func (l *Link) ping(now time.Time, sequence uint64) error {
+	_ = l.control.raw.SetWriteDeadline(now.Add(l.options.silent))
+	return l.control.Send(&wasabistandv1.LinkControl{Kind: &wasabistandv1.LinkControl_Ping{Ping: &wasabistandv1.LinkPing{Sequence: sequence, Time: l.now()}}})
+}
+
 func (l *Link) now() *wasabistandv1.HybridTime {
 	if l.options.clock == nil {
 		return nil
--- a/wasabilink/options.go
+++ b/wasabilink/options.go
@@ -72,9 +72,9 @@
 	}
 }
 
-// WithHeartbeat returns a copy that pings every interval while streams are
-// open, suspects a link after suspect without an answer and ends it after
-// silent.
+// WithHeartbeat returns a copy that looks every interval whether the peer has
+// said anything while streams were open, and pings it if not. A link is
+// suspect once the peer has been quiet for suspect, and ends after silent.
 func (o Options) WithHeartbeat(interval, suspect, silent time.Duration) Options {
 	o.heartbeat, o.suspect, o.silent = interval, suspect, silent
 	return o
--- a/wasabilink/stream.go
+++ b/wasabilink/stream.go
@@ -36,8 +36,9 @@
 const streamBuffer = 512
 
 func newStream(l *Link, raw *yamux.Stream) *Stream {
-	l.streams.Add(1)
-	l.touch()
+	if l.streams.Add(1) == 1 {
+		l.usedSince.Store(time.Now().UnixNano())
+	}
 	return &Stream{link: l, raw: raw, reader: bufio.NewReaderSize(raw, streamBuffer)}
 }
 
@@ -92,14 +93,23 @@
 // Link returns the link that carries the stream.
 func (s *Stream) Link() *Link { return s.link }
 
-// Close abandons the stream.
+// Close abandons the stream, and tells the peer at once.
 func (s *Stream) Close() error {
+	s.close()
+	s.link.conn.Flush()
+	return nil
+}
+
+// Finish closes a stream on which nothing is due any more. The peer learns of
+// it with the next frame.
+func (s *Stream) Finish() { s.close() }
+
+func (s *Stream) close() {
 	s.closeOne.Do(func() {
 		s.link.streams.Add(-1)
 		s.link.lastUse.Store(time.Now().UnixNano())
 		_ = s.raw.Close()
 	})
-	return nil
 }
 
 func (s *Stream) wrap(err error) error {
