Tell callers to return after an election, and make good single failures

After a loss of power control needs 1.3 s until it has elected and confirmed; callers return once, and were told to do so after 0.3 s. A further part ended with a 500 of one upstream, although the kind may be repeated and another instance would have answered. Change: wasabireturn estimates when a configuration is there and spreads the returns; a node that has just started holds its first requests for 150 ms, the time of a first session. A repeatable request that an upstream answered with a failure is sent to another instance while three quarters of the budget of repeats are left, so that failures that many share stay answers.

--- a/internal/traffic/wasabigateway/edge_test.go
+++ b/internal/traffic/wasabigateway/edge_test.go
@@ -12,6 +12,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/wasabistand/wasabistand"
+	"github.com/wasabistand/wasabistand/internal/traffic/wasabigateway"
 )
 
 // Guards against a stop that never ends because callers keep coming, and
@@ -151,3 +154,41 @@
 	k.announce(elsewhere.View().Instances["s"][0])
 	assert.Equal(t, entry.call(t, http.MethodPost, "/book/x", "2", "").status, http.StatusOK)
 }
+
+// Guards against repeats that multiply through a call tree when a service
+// further down fails for all: failures that many requests share are answers.
+func TestSharedFailuresAreNotRepeated(t *testing.T) {
+	const calls = 60
+	k := newControl(contracts(time.Minute))
+	var all []*upstream
+	entry := newNode(t, k, "entry", "t", "127.0.0.1:1")
+	for _, name := range []string{"a", "b", "c"} {
+		u := newUpstream(t, name, func(r *http.Request, _ string) string {
+			return "HTTP/1.1 500 X\r\nId: " + r.Header.Get("Id") + "\r\nMark: m\r\nContent-Length: 0\r\n\r\n"
+		})
+		newNode(t, k, name, "s", u.address).beat(t, k, u, "s", 5)
+		all = append(all, u)
+	}
+	for id := range calls {
+		assert.Equal(t, entry.call(t, http.MethodGet, "/read/x", fmt.Sprint(id), "").status, http.StatusInternalServerError)
+	}
+	runs := 0
+	for _, u := range all {
+		runs += len(u.seen())
+	}
+	// A quarter of a tenth, and one at low rates.
+	assert.Assert(t, runs > calls && runs <= calls+calls/40+1, "%d runs of %d calls", runs, calls)
+}
+
+// Guards against a refusal of the first requests of a node whose session with
+// control is about to open.
+func TestFirstRequestsWaitForTheConfiguration(t *testing.T) {
+	k := newControl(nil)
+	n := startNode(t, k, wasabigateway.NewSettings("node", "s", "127.0.0.1:1").WithFirstSession(time.Minute), "node")
+	status := make(chan int)
+	go func() { status <- n.call(t, http.MethodGet, "/nowhere/x", "1", "").status }()
+	k.view.Store(&wasabistand.View{Revision: 1, Contracts: contracts(time.Minute)})
+	next := make(chan struct{})
+	close(*k.changed.Swap(&next))
+	assert.Equal(t, <-status, http.StatusNotFound)
+}
--- a/internal/traffic/wasabigateway/enter.go
+++ b/internal/traffic/wasabigateway/enter.go
@@ -12,13 +12,13 @@
 	"github.com/wasabistand/wasabistand"
 	"github.com/wasabistand/wasabistand/internal/edge/wasabihttp"
 	"github.com/wasabistand/wasabistand/internal/policy/wasabimatch"
-	"github.com/wasabistand/wasabistand/internal/policy/wasabiplace"
+	"github.com/wasabistand/wasabistand/internal/policy/wasabireturn"
 )
 
 // Times after which a refused caller may come again.
 const (
-	// retryNotReady covers the start of a session with control.
-	retryNotReady = 300 * time.Millisecond
+	// retryLeaving leaves time to find another node.
+	retryLeaving = 300 * time.Millisecond
 	// retryDefault stands where a refusal says nothing.
 	retryDefault = 200 * time.Millisecond
 	maxRetry     = 10 * time.Second
@@ -86,11 +86,11 @@
 func (g *Gateway) prepare(q *request) (int, *wasabistand.Refusal) {
 	r := q.x.Request
 	if at := g.stopping.Load(); at != 0 && g.now().Sub(time.Unix(0, at)) > g.settings.refuseAfter {
-		return http.StatusServiceUnavailable, wasabistand.NewRefusal(wasabistand.ReasonLeaving, "the node stops").WithRetryAfter(retryNotReady)
+		return http.StatusServiceUnavailable, wasabistand.NewRefusal(wasabistand.ReasonLeaving, "the node stops").WithRetryAfter(retryLeaving)
 	}
-	c := g.config.Load()
+	c := g.configuration()
 	if c == nil {
-		return http.StatusServiceUnavailable, wasabistand.NewRefusal(wasabistand.ReasonNotReady, "no configuration is confirmed yet").WithRetryAfter(retryNotReady)
+		return http.StatusServiceUnavailable, g.notReady()
 	}
 	target := r.RequestURI
 	if r.URL.Host != "" {
@@ -141,18 +141,42 @@
 	return 0, nil
 }
 
+// configuration returns what is in force. A node that has just started waits
+// for a short time until its first session is open; nil means that it has none.
+func (g *Gateway) configuration() *inForce {
+	if c := g.config.Load(); c != nil || g.now().Sub(g.started) > g.settings.firstSession {
+		return c
+	}
+	g.await(g.settings.firstSession, func() bool { return g.config.Load() != nil })
+	return g.config.Load()
+}
+
+// notReady refuses a request for want of a configuration.
+func (g *Gateway) notReady() *wasabistand.Refusal {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return wasabistand.NewRefusal(wasabistand.ReasonNotReady, "no configuration is confirmed yet").
+		WithRetryAfter(wasabireturn.NotReady(g.now().Sub(g.started), g.parts.Random.Float64()))
+}
+
 // learn waits until control has told of the instances of a service.
 func (g *Gateway) learn(q *request) {
 	g.parts.Directory.Interest(q.service)
-	limit := time.NewTimer(min(g.settings.firstUse, time.Until(q.deadline)))
+	g.await(min(g.settings.firstUse, time.Until(q.deadline)), func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.placer.Known(q.service)
+	})
+}
+
+// await takes over what control tells until it suffices, for a time at most.
+func (g *Gateway) await(most time.Duration, suffices func() bool) {
+	limit := time.NewTimer(most)
 	defer limit.Stop()
 	for {
 		changed := g.parts.Directory.Changed()
 		g.update(g.parts.Directory.View())
-		g.mu.Lock()
-		known := g.placer.Known(q.service)
-		g.mu.Unlock()
-		if known {
+		if suffices() {
 			return
 		}
 		select {
@@ -212,132 +236,6 @@
 	}
 }
 
-// attempts sends a request to one instance after another until one answers or
-// the rules allow no further attempt.
-func (g *Gateway) attempts(ctx context.Context, q *request) outcome {
-	last := outcome{}
-	for {
-		choice, refusal := g.pick(q)
-		if refusal != nil {
-			if last.refusal == nil {
-				last = outcome{refusal: refusal}
-			}
-			return q.certain(last)
-		}
-		a := q.attempt
-		a.number = len(q.tried)
-		var out outcome
-		if choice.ID == g.settings.instance {
-			out = g.run(ctx, &a)
-		} else {
-			out = g.send(ctx, choice.LinkAddress, &a)
-		}
-		g.learned(q, choice, out)
-		if out.answer != nil {
-			return out
-		}
-		last = out
-		q.tried = append(q.tried, choice.ID)
-		if out.arrived {
-			q.arrived++
-		} else {
-			q.refused++
-		}
-		q.uncertain = q.uncertain || out.refusal.Outcome != wasabistand.NotRun
-		if !g.again(ctx, q, out) {
-			return q.certain(out)
-		}
-		g.note("again", &a, out)
-	}
-}
-
-// certain returns how a request ended whose earlier attempts may have run.
-func (q *request) certain(o outcome) outcome {
-	if q.uncertain && o.refusal.Outcome == wasabistand.NotRun {
-		r := *o.refusal
-		r.Outcome = wasabistand.Unknown
-		o.refusal = &r
-	}
-	return o
-}
-
-// pick chooses the instance of the next attempt.
-func (g *Gateway) pick(q *request) (wasabistand.Instance, *wasabistand.Refusal) {
-	now := g.now()
-	if !now.Before(q.deadline) {
-		return wasabistand.Instance{}, wasabistand.NewRefusal(wasabistand.ReasonDeadline, "the patience ended")
-	}
-	c, err := g.place(now, q)
-	if err != nil {
-		// Control may have told of further instances that follow has not taken
-		// over yet.
-		g.update(g.parts.Directory.View())
-		c, err = g.place(now, q)
-	}
-	if err != nil {
-		var refusal *wasabistand.Refusal
-		if !errors.As(err, &refusal) {
-			refusal = wasabistand.NewRefusal(wasabistand.ReasonNoInstance, err.Error())
-		}
-		return wasabistand.Instance{}, refusal.WithRetryAfter(retryDefault)
-	}
-	return c.Instance, nil
-}
-
-// place chooses an instance and charges the budget for a repeat that has one.
-func (g *Gateway) place(now time.Time, q *request) (wasabiplace.Choice, error) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	repeat := q.paid < q.arrived
-	if repeat && g.budget.Left(now, q.service) < 1 {
-		return wasabiplace.Choice{}, wasabistand.NewRefusal(wasabistand.ReasonNoInstance, "the budget of repeats is used up")
-	}
-	c, err := g.placer.Pick(now, wasabiplace.Query{
-		Service: q.service, Kind: q.route.Name, Exclude: q.tried, Remaining: q.deadline.Sub(now),
-		Once: !q.attempt.repeatable || q.arrived+1 >= q.route.MaxAttempts, Spare: g.budget.Spare(now, q.service),
-	})
-	if err == nil && repeat {
-		g.budget.Repeat(now, q.service)
-		g.metrics.repeats.WithLabelValues(q.service).Inc()
-		q.paid++
-	}
-	return c, err
-}
-
-// learned records how an attempt ended for the placement.
-func (g *Gateway) learned(q *request, i wasabistand.Instance, out outcome) {
-	g.metrics.attempt(g, q.service, i, out)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.placer.Done(g.now(), q.service, i.ID, wasabiplace.Result{
-		Failed: out.faulty, Down: out.down, Refused: out.refusal != nil && out.refusal.Outcome == wasabistand.NotRun && !out.faulty,
-		Service: out.took, Kind: q.route.Name, Load: out.load,
-	})
-}
-
-// again reports whether a request may be sent to another instance.
-func (g *Gateway) again(ctx context.Context, q *request, out outcome) bool {
-	r := out.refusal
-	now := g.now()
-	switch {
-	case ctx.Err() != nil, !now.Before(q.deadline), q.attempt.rest != nil && out.arrived:
-		return false
-	case r.Outcome != wasabistand.NotRun && !q.attempt.repeatable:
-		return false
-	case r.Reason == wasabistand.ReasonBadRequest, r.Reason == wasabistand.ReasonCancelled, r.Reason == wasabistand.ReasonTimeout:
-		return false
-	}
-	if !out.arrived {
-		return q.refused < g.settings.maxPlacements
-	}
-	if q.arrived >= q.route.MaxAttempts {
-		return false
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.budget.Left(now, q.service) >= 1
-}
-
 // deliver writes an upstream's answer to the caller.
 func (g *Gateway) deliver(q *request, out outcome) {
 	ans := out.answer
--- a/internal/traffic/wasabigateway/gateway.go
+++ b/internal/traffic/wasabigateway/gateway.go
@@ -82,9 +82,10 @@
 	entering atomic.Int64 // requests of callers
 	stopping atomic.Int64 // since when, in Unix nanoseconds, 0 for not
 
-	life   context.Context
-	cancel context.CancelFunc
-	wait   sync.WaitGroup
+	started time.Time
+	life    context.Context
+	cancel  context.CancelFunc
+	wait    sync.WaitGroup
 }
 
 // New checks the settings and returns a gateway that has not started.
@@ -95,7 +96,7 @@
 	if p.Now == nil {
 		p.Now = time.Now
 	}
-	g := &Gateway{settings: s, parts: p, log: p.Log, spread: map[string]*wasabimatch.Spread{}, listed: map[string][]wasabistand.Instance{}}
+	g := &Gateway{settings: s, parts: p, log: p.Log, spread: map[string]*wasabimatch.Spread{}, listed: map[string][]wasabistand.Instance{}, started: p.Now()}
 	g.life, g.cancel = context.WithCancel(context.Background())
 	g.journal = newJournal(p.Log, p.Now)
 	g.placer = wasabiplace.New(p.Place, s.location, p.Random)
--- a/internal/traffic/wasabigateway/gateway_test.go
+++ b/internal/traffic/wasabigateway/gateway_test.go
@@ -154,11 +154,16 @@
 }
 
 func newNode(t *testing.T, k *control, name, service, upstream string) *node {
+	t.Helper()
+	return startNode(t, k, wasabigateway.NewSettings(name, service, upstream).
+		WithLocation(wasabistand.Location{Region: "r", FailureDomain: name}).WithDrainTime(0).WithGrace(600*time.Millisecond), name)
+}
+
+func startNode(t *testing.T, k *control, s wasabigateway.Settings, name string) *node {
 	t.Helper()
 	link, callers := listen(t), listen(t)
 	g, err := wasabigateway.New(
-		wasabigateway.NewSettings(name, service, upstream).WithHeaders(headers).WithLinkAddress(link.Addr().String()).
-			WithLocation(wasabistand.Location{Region: "r", FailureDomain: name}).WithDrainTime(0).WithGrace(600*time.Millisecond),
+		s.WithHeaders(headers).WithLinkAddress(link.Addr().String()),
 		wasabigateway.Parts{
 			Directory: k, Announce: k.announce, Link: wasabilink.NewOptions("test", name, 1), Listener: link, Callers: callers,
 			Log: zerolog.Nop(), Random: rand.New(rand.NewPCG(1, 1)), Place: wasabiplace.NewOptions(), Incarnation: 1,
@@ -261,6 +266,9 @@
 		{"busy without a promise", "POST", "/book/x", []string{"HTTP/1.1 503 X\r\nId: 1\r\nContent-Length: 0\r\n\r\n", "ok"}, 502, 1},
 		{"another instance", "POST", "/book/x", []string{"HTTP/1.1 421 X\r\nId: 1\r\nContent-Length: 0\r\n\r\n", "ok"}, 200, 2},
 		{"a failure of its own", "POST", "/book/x", []string{"HTTP/1.1 500 X\r\nId: 1\r\nMark: m\r\nContent-Length: 0\r\n\r\n", "ok"}, 500, 1},
+		{"a failure that another makes good", "GET", "/read/x", []string{"HTTP/1.1 500 X\r\nId: 1\r\nMark: m\r\nContent-Length: 0\r\n\r\n", "ok"}, 200, 2},
+		{"a failure, then nothing better", "GET", "/read/x", []string{"HTTP/1.1 500 X\r\nId: 1\r\nMark: m\r\nContent-Length: 0\r\n\r\n", ""}, 500, 2},
+		{"a failure of two", "GET", "/read/x", []string{"HTTP/1.1 500 X\r\nId: 1\r\nMark: m\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 500 X\r\nId: 1\r\nMark: m\r\nContent-Length: 0\r\n\r\n", "ok"}, 500, 2},
 		{"no mark", "POST", "/book/x", []string{"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 1\r\n\r\nx", "ok"}, 502, 1},
 		{"encoded", "POST", "/book/x", []string{"HTTP/1.1 200 OK\r\nId: 1\r\nMark: m\r\nContent-Encoding: gzip\r\nContent-Length: 1\r\n\r\nx", "ok"}, 502, 1},
 		{"cut body", "POST", "/book/x", []string{"HTTP/1.1 200 OK\r\nId: 1\r\nMark: m\r\nContent-Length: 9\r\n\r\nx" + "!", "ok"}, 502, 1},
--- a/internal/traffic/wasabigateway/settings.go
+++ b/internal/traffic/wasabigateway/settings.go
@@ -57,6 +57,7 @@
 	answerGrace   time.Duration
 	queueLimit    int
 	firstUse      time.Duration
+	firstSession  time.Duration
 	maxPlacements int
 }
 
@@ -82,9 +83,12 @@
 		answerBytes: 256 << 10,
 		bufferBytes: 48 << 20,
 		// The way back of an answer that was made in time, between regions.
-		answerGrace:   100 * time.Millisecond,
-		queueLimit:    400,
-		firstUse:      time.Second,
+		answerGrace: 100 * time.Millisecond,
+		queueLimit:  400,
+		firstUse:    time.Second,
+		// A session with a control group that answers opens within some round
+		// trips between regions.
+		firstSession:  150 * time.Millisecond,
 		maxPlacements: 4,
 	}
 }
@@ -129,6 +133,13 @@
 	return s
 }
 
+// WithFirstSession returns a copy whose first requests wait for d until the
+// session with control is open.
+func (s Settings) WithFirstSession(d time.Duration) Settings {
+	s.firstSession = d
+	return s
+}
+
 // bodyShare is the part of a process's memory that bodies may take.
 const bodyShare = 6
 
