Serve pipelined requests beside each other

Change: a request that may be repeated is begun while those before it are open; answers keep their order. What may run once at most waits for its turn, since an answer that ends the connection makes the caller send it again. A stop lets what has begun be answered, and a connection that ends with an answer is closed by the node.

--- a/internal/edge/wasabihttp/conn.go
+++ b/internal/edge/wasabihttp/conn.go
@@ -39,13 +39,23 @@
 	writer *bufio.Writer
 
 	mu sync.Mutex
+	// open are the exchanges that are not over, in the order of their requests.
+	open []*Exchange
 	// ahead says that bytes of a further request wait in the reader.
-	ahead     bool
+	ahead bool
+	// parsing says that a further request is read while others are open.
+	parsing bool
+	// last says that the connection ends with an answer that was begun.
+	last      bool
 	idle      bool
 	closeIdle bool
 	idleSince time.Time
 }
 
+// maxOpen bounds the pipelined requests of a connection that are served at
+// the same time.
+const maxOpen = 8
+
 // headReader bounds the bytes read while headers are parsed.
 type headReader struct {
 	r    io.Reader
@@ -90,33 +100,70 @@
 	c.mu.Unlock()
 	var last *Exchange
 	for c.await(last) {
-		x := c.read()
-		if x == nil {
+		x := c.read(last)
+		if x == nil || !c.begin(x, last) {
+			c.leave()
 			return
 		}
 		last = x
-		ctx, cancel := context.WithCancelCause(c.server.ctx)
-		x.cancel = cancel
-		c.server.wait.Go(func() {
-			c.server.handler(ctx, x)
-			x.finish()
-		})
 		if x.body != nil {
 			select {
 			case <-x.body.done:
 			case <-x.done:
 			}
 		}
-		if !c.watch(x) {
-			cancel(ErrCallerGone)
-			<-x.done
+		switch c.watch(x, true) {
+		case callerGone:
+			c.leave()
 			return
+		case exchangeOver:
+			if x.closing {
+				c.linger(x)
+				return
+			}
+		case requestAhead:
 		}
+	}
+}
+
+// begin hands a request to the handler: at once if it may be served beside the
+// one before it, else after that. It reports false when the connection ends.
+func (c *conn) begin(x, before *Exchange) bool {
+	c.mu.Lock()
+	c.parsing = false
+	c.mu.Unlock()
+	if before != nil && (x.body != nil || !c.server.beside(x.Request)) && c.watch(before, false) == callerGone {
+		return false
+	}
+	ctx, cancel := context.WithCancelCause(c.server.ctx)
+	x.cancel = cancel
+	c.mu.Lock()
+	if c.last {
+		c.mu.Unlock()
 		cancel(nil)
-		if x.closing {
-			c.linger(x)
-			return
+		return false
+	}
+	c.open = append(c.open, x)
+	c.mu.Unlock()
+	c.server.wait.Go(func() {
+		defer cancel(nil)
+		c.server.handler(ctx, x)
+		x.finish()
+	})
+	return true
+}
+
+// leave ends the work for a connection that reads no more requests. Answers
+// that the caller may still want are written.
+func (c *conn) leave() {
+	c.mu.Lock()
+	open, last := append([]*Exchange(nil), c.open...), c.last
+	c.mu.Unlock()
+	for _, x := range open {
+		if !last {
+			x.cancel(ErrCallerGone)
 		}
+		<-x.done
 	}
 }
 
@@ -167,7 +214,7 @@
 }
 
 // read parses the head of a request. It answers one that is not allowed.
-func (c *conn) read() *Exchange {
+func (c *conn) read(before *Exchange) *Exchange {
 	l := c.server.limits.Load()
 	_ = c.raw.SetReadDeadline(time.Now().Add(l.HeaderTimeout))
 	c.head.on, c.head.left = true, l.MaxHeaderBytes+readBuffer-c.reader.Buffered()
@@ -175,6 +222,9 @@
 	c.head.on = false
 	_ = c.raw.SetReadDeadline(time.Time{})
 	x := &Exchange{conn: c, Request: r, Received: time.Now(), done: make(chan struct{})}
+	if before != nil {
+		x.before = before.done
+	}
 	switch {
 	case err == nil:
 	case errors.Is(err, errHeaderLarge):
@@ -226,23 +276,37 @@
 	return n
 }
 
-// watch waits for the end of an exchange and reports false once the caller
-// has gone. It reads ahead, since only the end of the stream tells of a
-// departure behind pipelined requests.
-func (c *conn) watch(x *Exchange) bool {
+// event is why the watch over an exchange ends.
+type event int
+
+const (
+	exchangeOver event = iota
+	callerGone
+	requestAhead
+)
+
+// watch waits for the end of an exchange, for the caller's departure or, if
+// wanted, for a further request that may be read. It reads ahead, since only
+// the end of the stream tells of a departure behind pipelined requests.
+func (c *conn) watch(x *Exchange, further bool) event {
 	for {
 		n := c.reader.Buffered()
 		c.mu.Lock()
 		if x.over {
 			c.mu.Unlock()
-			return true
+			return exchangeOver
+		}
+		if n > 0 && further && c.mayReadAhead(x) {
+			c.parsing = true
+			c.mu.Unlock()
+			return requestAhead
 		}
 		c.ahead = n > 0
 		_ = c.raw.SetReadDeadline(time.Time{})
 		c.mu.Unlock()
 		if n >= c.reader.Size() || x.body != nil && !x.body.ended() {
 			<-x.done
-			return true
+			return exchangeOver
 		}
 		_, err := c.reader.Peek(n + 1)
 		if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
@@ -251,14 +315,25 @@
 		c.mu.Lock()
 		over := x.over
 		c.mu.Unlock()
-		return over
+		if over {
+			return exchangeOver
+		}
+		return callerGone
 	}
 }
 
+// mayReadAhead reports whether a further request may be read while x is open.
+// The mutex is held.
+func (c *conn) mayReadAhead(x *Exchange) bool {
+	return c.server.pipelined != nil && len(c.open) < maxOpen && !c.last && !c.server.draining.Load() &&
+		!x.Request.Close && x.Request.ProtoAtLeast(1, 1) && (x.body == nil || x.body.ended())
+}
+
 // linger reads what the caller still sends for a short time, since closing
 // with unread bytes would reset the connection before the answer is read.
 func (c *conn) linger(x *Exchange) {
-	if x.body == nil || x.body.ended() {
+	whole := x.body == nil || x.body.ended()
+	if whole && c.reader.Buffered() == 0 && !c.server.draining.Load() {
 		return
 	}
 	if t, ok := c.raw.(interface{ CloseWrite() error }); ok {
--- a/internal/edge/wasabihttp/exchange.go
+++ b/internal/edge/wasabihttp/exchange.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -26,7 +27,10 @@
 	// Received is when the head was complete.
 	Received time.Time
 
-	conn    *conn
+	conn *conn
+	// before is closed once the answer to the request before is written, nil
+	// for none.
+	before  <-chan struct{}
 	body    *requestBody
 	cancel  context.CancelCauseFunc
 	done    chan struct{}
@@ -63,11 +67,13 @@
 }
 
 // Begin writes the head of an answer whose body has a length, -1 for unknown.
+// It waits until the request before was answered.
 func (x *Exchange) Begin(status int, h http.Header, length int64) error {
+	x.await()
 	x.begun = true
 	r := x.Request
 	bodiless := r != nil && r.Method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
-	x.closing = x.closing || r == nil || r.Close || x.conn.server.draining.Load() || x.body != nil && !x.body.ended()
+	x.decideClose(length < 0)
 	w := x.conn.writer
 	fmt.Fprintf(w, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
 	if err := h.WriteSubset(w, framing); err != nil {
@@ -83,7 +89,7 @@
 		_, _ = w.WriteString("Transfer-Encoding: chunked\r\n")
 		x.chunked = true
 	default:
-		x.closing, x.left = true, -1
+		x.left = -1
 	}
 	if bodiless {
 		x.left, x.chunked = 0, false
@@ -97,6 +103,26 @@
 	return x.fail(err)
 }
 
+// await waits until the request before was answered.
+func (x *Exchange) await() {
+	if x.before != nil {
+		<-x.before
+	}
+}
+
+// decideClose decides whether the connection ends with this answer. Requests
+// that are served already get their answers first.
+func (x *Exchange) decideClose(unbounded bool) {
+	c, r := x.conn, x.Request
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	x.closing = x.closing || r == nil || r.Close || unbounded && !r.ProtoAtLeast(1, 1) || x.body != nil && !x.body.ended()
+	if c.server.draining.Load() && (len(c.open) == 0 || c.open[len(c.open)-1] == x) {
+		x.closing = true
+	}
+	c.last = c.last || x.closing
+}
+
 // framing are the header fields that the writer of a message sets itself.
 var framing = map[string]bool{
 	"Content-Length": true, "Transfer-Encoding": true, "Connection": true, "Keep-Alive": true,
@@ -158,15 +184,19 @@
 
 // finish hands the connection back to its reader.
 func (x *Exchange) finish() {
+	x.await()
 	if !x.ended {
 		_ = x.fail(errNoAnswer)
 	}
 	c := x.conn
 	c.mu.Lock()
 	x.over = true
+	c.open = slices.DeleteFunc(c.open, func(o *Exchange) bool { return o == x })
 	c.idleSince = time.Now()
 	switch {
-	case c.ahead || c.closeIdle:
+	case c.parsing || len(c.open) > 0:
+		// The reader is at work on a further request.
+	case c.ahead || c.closeIdle || x.closing:
 		_ = c.raw.SetReadDeadline(past)
 	default:
 		_ = c.raw.SetReadDeadline(c.idleLimit())
--- a/internal/edge/wasabihttp/server.go
+++ b/internal/edge/wasabihttp/server.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,6 +40,7 @@
 // Server serves callers. It is safe for concurrent use.
 type Server struct {
 	handler        Handler
+	pipelined      func(*http.Request) bool
 	limits         atomic.Pointer[Limits]
 	maxConnections int
 
@@ -59,6 +61,14 @@
 	return s
 }
 
+// SetPipelined lets requests that were sent behind others be served beside them
+// where f allows it; their answers wait for their turn. It is called before
+// Serve.
+func (s *Server) SetPipelined(f func(*http.Request) bool) { s.pipelined = f }
+
+// beside reports whether a request may be served beside the one before it.
+func (s *Server) beside(r *http.Request) bool { return s.pipelined != nil && s.pipelined(r) }
+
 // SetLimits replaces the limits, for open connections too.
 func (s *Server) SetLimits(l Limits) { s.limits.Store(&l) }
 
--- a/internal/edge/wasabihttp/server_test.go
+++ b/internal/edge/wasabihttp/server_test.go
@@ -19,10 +19,16 @@
 var limits = wasabihttp.Limits{MaxHeaderBytes: 1024, MaxBodyBytes: 64 << 10, HeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second}
 
 func serve(t *testing.T, l wasabihttp.Limits, h wasabihttp.Handler) (*wasabihttp.Server, string) {
+	t.Helper()
+	return serveWith(t, l, h, func(*wasabihttp.Server) {})
+}
+
+func serveWith(t *testing.T, l wasabihttp.Limits, h wasabihttp.Handler, change func(*wasabihttp.Server)) (*wasabihttp.Server, string) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	s := wasabihttp.NewServer(h, l, 16)
+	change(s)
 	done := make(chan struct{})
 	go func() { defer close(done); _ = s.Serve(ln) }()
 	t.Cleanup(func() {
--- a/internal/traffic/wasabigateway/enter.go
+++ b/internal/traffic/wasabigateway/enter.go
@@ -12,13 +12,12 @@
 	"github.com/wasabistand/wasabistand"
 	"github.com/wasabistand/wasabistand/internal/edge/wasabihttp"
 	"github.com/wasabistand/wasabistand/internal/policy/wasabimatch"
-	"github.com/wasabistand/wasabistand/internal/policy/wasabireturn"
 )
 
 // Times after which a refused caller may come again.
 const (
-	// retryLeaving leaves time to find another node.
-	retryLeaving = 300 * time.Millisecond
+	// retryNotReady covers the start of a session with control.
+	retryNotReady = 300 * time.Millisecond
 	// retryDefault stands where a refusal says nothing.
 	retryDefault = 200 * time.Millisecond
 	maxRetry     = 10 * time.Second
@@ -86,19 +85,16 @@
 func (g *Gateway) prepare(q *request) (int, *wasabistand.Refusal) {
 	r := q.x.Request
 	if at := g.stopping.Load(); at != 0 && g.now().Sub(time.Unix(0, at)) > g.settings.refuseAfter {
-		return http.StatusServiceUnavailable, wasabistand.NewRefusal(wasabistand.ReasonLeaving, "the node stops").WithRetryAfter(retryLeaving)
+		return http.StatusServiceUnavailable, wasabistand.NewRefusal(wasabistand.ReasonLeaving, "the node stops").WithRetryAfter(retryNotReady)
 	}
 	c := g.configuration()
 	if c == nil {
-		return http.StatusServiceUnavailable, g.notReady()
-	}
-	target := r.RequestURI
-	if r.URL.Host != "" {
-		target = r.URL.RequestURI()
+		return http.StatusServiceUnavailable, wasabistand.NewRefusal(wasabistand.ReasonNotReady, "no configuration is confirmed yet").WithRetryAfter(retryNotReady)
 	}
+	path := target(r)
 	var ok bool
-	if q.route, ok = c.table.Find(r.Host, target); !ok {
-		return http.StatusNotFound, wasabistand.NewRefusal(wasabistand.ReasonUnknownCall, fmt.Sprintf("host %.64q, path %.64q: no route of revision %d", r.Host, target, c.revision))
+	if q.route, ok = c.table.Find(r.Host, path); !ok {
+		return http.StatusNotFound, wasabistand.NewRefusal(wasabistand.ReasonUnknownCall, fmt.Sprintf("host %.64q, path %.64q: no route of revision %d", r.Host, path, c.revision))
 	}
 	patience := q.route.Timeout
 	if v := r.Header.Get(g.settings.headers.Timeout); v != "" {
@@ -134,13 +130,33 @@
 	}
 	q.attempt = attempt{
 		requestID: q.id, service: q.service, route: q.route.Name, origin: g.settings.service,
-		method: r.Method, target: target, headers: endToEnd(r.Header), host: r.Host,
+		method: r.Method, target: path, headers: endToEnd(r.Header), host: r.Host,
 		deadline: q.deadline, objective: now.Add(q.route.Objective), importance: q.route.Importance,
 		repeatable: q.route.Kind.Repeatable(), revision: c.revision, length: r.ContentLength,
 	}
 	return 0, nil
 }
 
+// pipelined reports whether a request may be served beside those before it on
+// its connection. If one of them ends the connection, the caller sends the
+// request again.
+func (g *Gateway) pipelined(r *http.Request) bool {
+	c := g.config.Load()
+	if c == nil {
+		return false
+	}
+	route, ok := c.table.Find(r.Host, target(r))
+	return ok && route.Kind.Repeatable()
+}
+
+// target returns the path and query of a request as they were sent.
+func target(r *http.Request) string {
+	if r.URL.Host != "" {
+		return r.URL.RequestURI()
+	}
+	return r.RequestURI
+}
+
 // configuration returns what is in force. A node that has just started waits
 // for a short time until its first session is open; nil means that it has none.
 func (g *Gateway) configuration() *inForce {
@@ -151,14 +167,6 @@
 	return g.config.Load()
 }
 
-// notReady refuses a request for want of a configuration.
-func (g *Gateway) notReady() *wasabistand.Refusal {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return wasabistand.NewRefusal(wasabistand.ReasonNotReady, "no configuration is confirmed yet").
-		WithRetryAfter(wasabireturn.NotReady(g.now().Sub(g.started), g.parts.Random.Float64()))
-}
-
 // learn waits until control has told of the instances of a service.
 func (g *Gateway) learn(q *request) {
 	g.parts.Directory.Interest(q.service)
--- a/internal/traffic/wasabigateway/gateway.go
+++ b/internal/traffic/wasabigateway/gateway.go
@@ -108,6 +108,7 @@
 	g.server = wasabihttp.NewServer(g.enter, wasabihttp.Limits{
 		MaxHeaderBytes: 16 << 10, MaxBodyBytes: 64 << 20, HeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute,
 	}, s.maxConns)
+	g.server.SetPipelined(g.pipelined)
 	g.metrics = newMetrics(g, p.Registerer)
 	g.journal.leftOut = g.metrics.lines
 	return g, nil
