Close a link's connection without a wait

A profile showed one goroutine of yamux at work: from the shutdown of a session until its connection is closed, the readers of its streams spin, and on one processor they leave it only by preemption. The new connection waited in its Close for the writer. Change: Close neither waits nor yields; what was written just before leaves before the session is shut down.

--- a/wasabilink/cost_test.go
+++ b/wasabilink/cost_test.go
@@ -42,6 +42,7 @@
 		callIsOneWrite(t)
 		busyLinkIsNotPinged(t)
 		lostPingEndsLink(t)
+		closeWaitsForNoPeer(t)
 	})
 }
 
@@ -137,3 +138,45 @@
 		}
 	}
 }
+
+// stuck is a connection whose writes wait for its close.
+type stuck struct {
+	net.Conn
+	on     *atomic.Bool
+	closed chan struct{}
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	if s.on.Load() {
+		<-s.closed
+		return 0, net.ErrClosed
+	}
+	return s.Conn.Write(p)
+}
+
+func (s *stuck) Close() error {
+	close(s.closed)
+	return s.Conn.Close()
+}
+
+// Guards against a close that waits for a peer which does not read, while yamux
+// keeps the link's readers busy.
+func closeWaitsForNoPeer(t *testing.T) {
+	t.Helper()
+	n := newNetwork()
+	ln := wasabilink.Serve(n, options("b"), echo)
+	var on atomic.Bool
+	l, err := wasabilink.Dial(t.Context(), "b", options("a").WithDial(func(ctx context.Context, address string) (net.Conn, error) {
+		c, err := n.dial(ctx, address)
+		return &stuck{c, &on, make(chan struct{})}, err
+	}), nil)
+	assert.NilError(t, err)
+	on.Store(true)
+	_, _, err = l.OpenWith(t.Context(), wasabistandv1.StreamOpen_KIND_ROUTED, body("x"))
+	assert.NilError(t, err)
+	synctest.Wait()
+	start := time.Now()
+	assert.NilError(t, l.Close())
+	assert.Equal(t, time.Since(start), time.Duration(0))
+	assert.NilError(t, ln.Close())
+}
--- a/wasabilink/frame.go
+++ b/wasabilink/frame.go
@@ -27,8 +27,8 @@
 	// pendingBytes bounds what waits for the connection: a peer that does not
 	// read blocks the writer.
 	pendingBytes = 64 << 10
-	// flushTimeout bounds the last write of a connection that closes.
-	flushTimeout = 100 * time.Millisecond
+	// settleYields is how often a link that ends lets its writer run.
+	settleYields = 4
 )
 
 // frameConn sends frames that are written at about the same time by one system
@@ -149,22 +149,27 @@
 	c.drained.Broadcast()
 }
 
-// Close sends what is pending, if the peer takes it, and closes the
-// connection.
+// settle lets what was written just before leave. It waits for no peer.
+func (c *frameConn) settle() {
+	for range settleYields {
+		c.mu.Lock()
+		flushing := c.flushing
+		c.mu.Unlock()
+		if !flushing {
+			return
+		}
+		runtime.Gosched()
+	}
+}
+
+// Close closes the connection. It must not yield: yamux keeps the readers of
+// its streams busy from the shutdown of a session until it is closed.
 func (c *frameConn) Close() error {
-	_ = c.SetWriteDeadline(time.Now().Add(flushTimeout))
 	c.mu.Lock()
-	if len(c.pending) > 0 && c.err == nil {
-		c.flush()
-	}
 	c.closed = true
-	c.mu.Unlock()
-	c.wait.Wait()
-	err := c.Conn.Close()
-	c.mu.Lock()
 	if c.err == nil {
 		c.fail(net.ErrClosed)
 	}
 	c.mu.Unlock()
-	return err
+	return c.Conn.Close()
 }
--- a/wasabilink/link.go
+++ b/wasabilink/link.go
@@ -247,6 +247,7 @@
 func (l *Link) Close() error {
 	l.end(Error.New("link closed"))
 	l.wait.Wait()
+	l.conn.wait.Wait()
 	return nil
 }
 
@@ -256,6 +257,7 @@
 func (l *Link) end(cause error) {
 	l.closeOnce.Do(func() {
 		l.cancel(cause)
+		l.conn.settle()
 		_ = l.session.Close()
 	})
 }
