Let a closing frame wait although the writer is at work

Cause: callIsOneWrite failed in 2 of 240 runs with 101 writes of 100: a closing frame that came while a write returned was sent alone. Change: the writer goes on only for frames that are due.

--- a/wasabilink/frame.go
+++ b/wasabilink/frame.go
@@ -45,6 +45,7 @@
 	pending  []byte
 	spare    []byte
 	body     int // bytes of the current frame that are still to come
+	due      bool
 	flushing bool
 	closed   bool
 	err      error
@@ -113,8 +114,10 @@
 	}
 }
 
-// flush starts the writing unless it runs. The mutex is held.
+// flush marks what is pending as due and starts the writing unless it runs. The
+// mutex is held.
 func (c *frameConn) flush() {
+	c.due = true
 	if c.flushing || c.closed {
 		return
 	}
@@ -122,20 +125,23 @@
 	c.wait.Go(c.drain)
 }
 
-// drain writes until nothing is pending.
+// drain writes until nothing is due.
 func (c *frameConn) drain() {
 	// Goroutines that are ready to write more do so first.
 	runtime.Gosched()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for len(c.pending) > 0 && c.err == nil {
+	for c.due && c.err == nil {
+		c.due = false
 		b := c.pending
 		c.pending, c.spare = c.spare[:0], nil
 		c.drained.Broadcast()
 		c.mu.Unlock()
 		_, err := c.Conn.Write(b)
 		c.mu.Lock()
-		c.spare = b[:0]
+		if cap(b) <= pendingBytes {
+			c.spare = b[:0]
+		}
 		if err != nil {
 			c.fail(err)
 		}
