Let the caller read the last answer before a connection with unread requests closes

Cause: a stop with pipelined requests unserved closed the connection with unread bytes, which resets it; the last answer may be lost with it.

--- a/internal/edge/wasabihttp/conn.go
+++ b/internal/edge/wasabihttp/conn.go
@@ -120,7 +120,9 @@
 			return
 		case exchangeOver:
 			if x.closing {
-				c.linger(x)
+				if c.lingers(x) {
+					c.linger()
+				}
 				return
 			}
 		case requestAhead:
@@ -169,6 +171,9 @@
 		}
 		<-x.done
 	}
+	if last {
+		c.linger()
+	}
 }
 
 // idleLimit returns when an idle connection ends.
@@ -333,13 +338,15 @@
 		!x.Request.Close && x.Request.ProtoAtLeast(1, 1) && (x.body == nil || x.body.ended())
 }
 
+// lingers reports whether the caller may still send when x has ended the
+// connection.
+func (c *conn) lingers(x *Exchange) bool {
+	return x.body != nil && !x.body.ended() || c.reader.Buffered() > 0 || c.server.draining.Load()
+}
+
 // linger reads what the caller still sends for a short time, since closing
 // with unread bytes would reset the connection before the answer is read.
-func (c *conn) linger(x *Exchange) {
-	whole := x.body == nil || x.body.ended()
-	if whole && c.reader.Buffered() == 0 && !c.server.draining.Load() {
-		return
-	}
+func (c *conn) linger() {
 	if t, ok := c.raw.(interface{ CloseWrite() error }); ok {
 		_ = t.CloseWrite()
 	}
--- a/internal/edge/wasabihttp/exchange.go
+++ b/internal/edge/wasabihttp/exchange.go
@@ -209,11 +209,7 @@
 func (x *Exchange) reject(status int) {
 	x.closing = true
 	_ = x.Answer(status, http.Header{}, nil)
-	if t, ok := x.conn.raw.(interface{ CloseWrite() error }); ok {
-		_ = t.CloseWrite()
-	}
-	_ = x.conn.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
-	_, _ = io.CopyN(io.Discard, x.conn.raw, lingerBytes)
+	x.conn.linger()
 }
 
 // requestBody reads a request's body within its limit.
--- a/internal/edge/wasabihttp/pipeline_test.go
+++ b/internal/edge/wasabihttp/pipeline_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -140,3 +141,27 @@
 		assert.Equal(t, a.Header.Get("X-Path"), path)
 	}
 }
+
+// Guards against a reset that takes the last answer of a connection from a
+// caller whose further requests were not served.
+func TestLastAnswerOutlivesUnservedRequests(t *testing.T) {
+	begun, release := make(chan string, 4), make(chan struct{})
+	s, address := servePipelined(t, func(ctx context.Context, x *wasabihttp.Exchange) {
+		begun <- x.Request.RequestURI
+		<-release
+		echo(ctx, x)
+	})
+	c, r := dial(t, address)
+	send(t, c, http.MethodGet, "/1")
+	assert.Equal(t, <-begun, "/1")
+	for range 200 {
+		send(t, c, http.MethodPost, "/2"+strings.Repeat("x", 100))
+	}
+	s.Drain()
+	close(release)
+	a, _ := answer(t, r)
+	assert.Assert(t, a.Close && a.Header.Get("X-Path") == "/1")
+	_, err := r.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+	assert.Equal(t, len(begun), 0)
+}
