--- a/internal/edge/wasabihttp/conn.go
+++ b/internal/edge/wasabihttp/conn.go
@@ -137,8 +137,12 @@
 	c.mu.Lock()
 	c.parsing, c.turn = false, waits
 	c.mu.Unlock()
-	if waits && c.watch(before, false) == callerGone {
-		return false
+	if waits {
+		if c.watch(before, false) == callerGone {
+			return false
+		}
+		// The end of the exchange before woke the reader by its deadline.
+		_ = c.raw.SetReadDeadline(time.Time{})
 	}
 	ctx, cancel := context.WithCancelCause(c.server.ctx)
 	x.cancel = cancel
