Add a command that traces a request through the logs of many processes

Cause: from a request's id to its cause took several searches over the logs of all processes, by hand. Change: wasabistand trace reads logs, prints the lines of the request and what its processes came to believe shortly before, and names the cause; internal/operate/ wasabitrace does the reading. No process of a deployment runs this code.

--- a/wasabicommand/command.go
+++ b/wasabicommand/command.go
@@ -181,5 +181,6 @@
 		newStatus(out),
 		newMembers(out),
 		newTimeline(out),
+		newTrace(out, os.Stdin),
 	}
 }
