Measure the silence of a link by the steady clock

Cause: times of links were kept in Unix nanoseconds, and differences of those follow the time of day: a jump ahead ends each link that has a ping open, one back stops pings for as long.

--- a/wasabilink/frame.go
+++ b/wasabilink/frame.go
@@ -5,8 +5,6 @@
 	"net"
 	"runtime"
 	"sync"
-	"sync/atomic"
-	"time"
 )
 
 // Layout of a yamux frame header: version, type, flags, stream, length.
@@ -37,8 +35,8 @@
 // call, and its acceptance by an answer.
 type frameConn struct {
 	net.Conn
-	// heard is when bytes last came, in Unix nanoseconds.
-	heard atomic.Int64
+	// heard is when bytes last came.
+	heard moment
 
 	mu       sync.Mutex
 	drained  sync.Cond
@@ -55,7 +53,7 @@
 func newFrameConn(c net.Conn) *frameConn {
 	f := &frameConn{Conn: c}
 	f.drained.L = &f.mu
-	f.heard.Store(time.Now().UnixNano())
+	f.heard.store(steady())
 	return f
 }
 
@@ -63,7 +61,7 @@
 func (c *frameConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.heard.Store(time.Now().UnixNano())
+		c.heard.store(steady())
 	}
 	return n, err
 }
--- a/wasabilink/link.go
+++ b/wasabilink/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -23,6 +24,23 @@
 // why.
 const refusalLinger = time.Second
 
+// started is what the beats of all links of the process are aligned to, so
+// that one wake-up serves them all, and what silence is measured from.
+var started = time.Now()
+
+// steady is the time since the start by the steady clock: the time of day may
+// jump.
+func steady() time.Duration { return time.Since(started) }
+
+// noTime stands for no time of the steady clock.
+const noTime = time.Duration(math.MinInt64)
+
+// moment is a time of the steady clock. It is safe for concurrent use.
+type moment struct{ nanos atomic.Int64 }
+
+func (m *moment) store(d time.Duration) { m.nanos.Store(int64(d)) }
+func (m *moment) load() time.Duration   { return time.Duration(m.nanos.Load()) }
+
 // Handler serves one stream that the peer opened. The context ends with the
 // link. The stream is closed when the handler returns.
 type Handler func(ctx context.Context, kind wasabistandv1.StreamOpen_Kind, s *Stream)
@@ -44,12 +62,12 @@
 	handler Handler
 
 	streams atomic.Int64
-	lastUse atomic.Int64
+	lastUse moment
 	// usedSince is when streams were opened after there was none.
-	usedSince atomic.Int64
+	usedSince moment
 	// quietSince is since when the peer has said nothing, of an unanswered
-	// ping, 0 for none.
-	quietSince atomic.Int64
+	// ping, noTime for none.
+	quietSince moment
 	goneAway   atomic.Bool
 
 	ctx       context.Context
@@ -107,7 +125,8 @@
 		_ = session.Close()
 		return nil, Error.Wrap(err)
 	}
-	l.lastUse.Store(time.Now().UnixNano())
+	l.lastUse.store(steady())
+	l.quietSince.store(noTime)
 	l.wait.Add(3)
 	go l.readControl()
 	go l.beat()
@@ -183,8 +202,8 @@
 // Suspect reports whether the peer has not answered a ping and has said nothing
 // for too long.
 func (l *Link) Suspect() bool {
-	q := l.quietSince.Load()
-	return q != 0 && time.Since(time.Unix(0, q)) >= l.options.suspect
+	q := l.quietSince.load()
+	return q != noTime && steady()-q >= l.options.suspect
 }
 
 // Usable reports whether new streams should be opened on the link.
@@ -304,23 +323,19 @@
 			}
 		case *wasabistandv1.LinkControl_Pong:
 			l.observe(k.Pong.Time)
-			l.quietSince.Store(0)
+			l.quietSince.store(noTime)
 		case *wasabistandv1.LinkControl_GoAway:
 			l.goneAway.Store(true)
 		}
 	}
 }
 
-// started is what the beats of all links of the process are aligned to, so
-// that one wake-up serves them all.
-var started = time.Now()
-
 // beat pings the peer while it owes an answer and says nothing, and ends the
 // link once a ping stays unanswered. Whatever comes saves a ping.
 func (l *Link) beat() {
 	defer l.wait.Done()
 	every := l.options.heartbeat
-	first := time.NewTimer(every - time.Since(started)%every)
+	first := time.NewTimer(every - steady()%every)
 	defer first.Stop()
 	select {
 	case <-l.ctx.Done():
@@ -330,8 +345,7 @@
 	t := time.NewTicker(every)
 	defer t.Stop()
 	for sequence := uint64(1); ; {
-		now := time.Now()
-		switch l.duty(now) {
+		switch l.duty(steady()) {
 		case dutyEnd:
 			if l.options.onSilent != nil {
 				l.options.onSilent(l.address)
@@ -339,7 +353,7 @@
 			l.end(ErrSilent.New("%s did not answer for %v", l, l.options.silent))
 			return
 		case dutyPing:
-			if err := l.ping(now, sequence); err != nil {
+			if err := l.ping(sequence); err != nil {
 				l.end(Error.Wrap(err))
 				return
 			}
@@ -363,33 +377,33 @@
 )
 
 // duty tells what a beat has to do.
-func (l *Link) duty(now time.Time) duty {
-	if q := l.quietSince.Load(); q != 0 {
-		if now.Sub(time.Unix(0, q)) >= l.options.silent {
+func (l *Link) duty(now time.Duration) duty {
+	if q := l.quietSince.load(); q != noTime {
+		if now-q >= l.options.silent {
 			return dutyEnd
 		}
 		return dutyNone
 	}
-	heard := l.conn.heard.Load()
+	heard := l.conn.heard.load()
 	quiet, bound := heard, l.options.idleHeartbeat
 	if l.streams.Load() > 0 {
-		quiet, bound = max(heard, l.usedSince.Load()), l.options.heartbeat
+		quiet, bound = max(heard, l.usedSince.load()), l.options.heartbeat
 	}
-	if now.Sub(time.Unix(0, quiet)) < bound {
+	if now-quiet < bound {
 		return dutyNone
 	}
 	if l.streams.Load() == 0 {
 		// Nobody waits for the peer yet.
-		quiet = now.UnixNano()
+		quiet = now
 	}
-	l.quietSince.Store(quiet)
+	l.quietSince.store(quiet)
 	return dutyPing
 }
 
 // ping sends one ping. A silent peer may also stop reading; the send must not
 // hold up the detection.
-func (l *Link) ping(now time.Time, sequence uint64) error {
-	_ = l.control.raw.SetWriteDeadline(now.Add(l.options.silent))
+func (l *Link) ping(sequence uint64) error {
+	_ = l.control.raw.SetWriteDeadline(time.Now().Add(l.options.silent))
 	return l.control.Send(&wasabistandv1.LinkControl{Kind: &wasabistandv1.LinkControl_Ping{Ping: &wasabistandv1.LinkPing{Sequence: sequence, Time: l.now()}}})
 }
 
--- a/wasabilink/pool.go
+++ b/wasabilink/pool.go
@@ -141,13 +141,13 @@
 			return
 		case <-t.C:
 		}
-		for _, l := range p.idle(time.Now()) {
+		for _, l := range p.idle(steady()) {
 			_ = l.Close()
 		}
 	}
 }
 
-func (p *Pool) idle(now time.Time) []*Link {
+func (p *Pool) idle(now time.Duration) []*Link {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var list []*Link
@@ -156,7 +156,7 @@
 			continue
 		}
 		replaced := p.current[l.address] != l
-		if replaced || now.Sub(time.Unix(0, l.lastUse.Load())) >= p.options.idleClose {
+		if replaced || now-l.lastUse.load() >= p.options.idleClose {
 			if !replaced {
 				delete(p.current, l.address)
 			}
--- a/wasabilink/stream.go
+++ b/wasabilink/stream.go
@@ -37,7 +37,7 @@
 
 func newStream(l *Link, raw *yamux.Stream) *Stream {
 	if l.streams.Add(1) == 1 {
-		l.usedSince.Store(time.Now().UnixNano())
+		l.usedSince.store(steady())
 	}
 	return &Stream{link: l, raw: raw, reader: bufio.NewReaderSize(raw, streamBuffer)}
 }
@@ -107,7 +107,7 @@
 func (s *Stream) close() {
 	s.closeOne.Do(func() {
 		s.link.streams.Add(-1)
-		s.link.lastUse.Store(time.Now().UnixNano())
+		s.link.lastUse.store(steady())
 		_ = s.raw.Close()
 	})
 }
