Send the body of a large frame without a copy

Change: a body of 16 KiB or more goes out behind what is pending without a copy, buffers are used again while a link is busy, and an idle link gives them back.

--- a/wasabilink/frame.go
+++ b/wasabilink/frame.go
@@ -24,7 +24,13 @@
 const (
 	// pendingBytes bounds what waits for the connection: a peer that does not
 	// read blocks the writer.
-	pendingBytes = 64 << 10
+	pendingBytes = 32 << 10
+	// directBytes is the size from which a frame's body is sent without a copy.
+	directBytes = 16 << 10
+	// keptBytes bounds a buffer that is used again while a link is busy, and
+	// idleBytes one that an idle link keeps.
+	keptBytes = 256 << 10
+	idleBytes = 4 << 10
 	// settleYields is how often a link that ends lets its writer run.
 	settleYields = 4
 )
@@ -78,6 +84,10 @@
 	if c.err != nil {
 		return 0, c.err
 	}
+	if c.body == len(p) && len(p) >= directBytes && !c.flushing && !c.closed {
+		c.body = 0
+		return len(p), c.direct(p)
+	}
 	c.pending = append(c.pending, p...)
 	if c.body > 0 {
 		c.body = max(c.body-len(p), 0)
@@ -123,6 +133,25 @@
 	c.wait.Go(c.drain)
 }
 
+// direct sends what is pending and the body of a large frame behind it. The
+// mutex is held.
+func (c *frameConn) direct(p []byte) error {
+	c.flushing, c.due = true, false
+	b := c.pending
+	c.pending, c.spare = c.spare[:0], nil
+	c.mu.Unlock()
+	buffers := net.Buffers{b, p}
+	_, err := buffers.WriteTo(c.Conn)
+	c.mu.Lock()
+	c.spare, c.flushing = b[:0], false
+	if err != nil {
+		c.fail(err)
+	} else if c.due {
+		c.flush()
+	}
+	return err
+}
+
 // drain writes until nothing is due.
 func (c *frameConn) drain() {
 	// Goroutines that are ready to write more do so first.
@@ -137,7 +166,7 @@
 		c.mu.Unlock()
 		_, err := c.Conn.Write(b)
 		c.mu.Lock()
-		if cap(b) <= pendingBytes {
+		if cap(b) <= keptBytes {
 			c.spare = b[:0]
 		}
 		if err != nil {
@@ -147,6 +176,18 @@
 	c.flushing = false
 }
 
+// trim gives back the buffers of large frames.
+func (c *frameConn) trim() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if cap(c.spare) > idleBytes {
+		c.spare = nil
+	}
+	if len(c.pending) == 0 && cap(c.pending) > idleBytes {
+		c.pending = nil
+	}
+}
+
 // fail ends all writing. The mutex is held.
 func (c *frameConn) fail(err error) {
 	c.err = err
--- a/wasabilink/link.go
+++ b/wasabilink/link.go
@@ -359,6 +359,9 @@
 			}
 			sequence++
 		case dutyNone:
+			if l.streams.Load() == 0 {
+				l.conn.trim()
+			}
 		}
 		select {
 		case <-l.ctx.Done():
