Keep an upstream's own failures out of its placement

An upstream's 500 counted as its fault: one drove requests that may run once away for some seconds, and where a service further down sheds, all instances looked faulty. Change: a 500 does not count as a fault; its time still doesn't count as speed.

--- a/internal/traffic/wasabigateway/attempts.go
+++ b/internal/traffic/wasabigateway/attempts.go
@@ -144,8 +144,9 @@
 		Service: out.took, Kind: q.route.Name, Load: out.load,
 	}
 	if out.answer != nil && out.answer.status == http.StatusInternalServerError {
-		// An instance that fails early is not a fast one.
-		r.Failed, r.Service = true, 0
+		// An instance that fails early is not a fast one. Nor is it at fault:
+		// most failures come from calls further down.
+		r.Service = 0
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/traffic/wasabigateway/edge_test.go
+++ b/internal/traffic/wasabigateway/edge_test.go
@@ -192,3 +192,26 @@
 	close(*k.changed.Swap(&next))
 	assert.Equal(t, <-status, http.StatusNotFound)
 }
+
+// Guards against single failures of an upstream, or those of a service below
+// it, that drive requests to other failure domains and regions.
+func TestOwnFailureLeavesPlacement(t *testing.T) {
+	k := newControl(contracts(time.Minute))
+	here := wasabistand.Location{Region: "r", FailureDomain: "d"}
+	start := func(name, service, upstream string, l wasabistand.Location) *node {
+		return startNode(t, k, wasabigateway.NewSettings(name, service, upstream).WithLocation(l).WithDrainTime(0).WithGrace(600*time.Millisecond), name)
+	}
+	near := newUpstream(t, "near", func(r *http.Request, _ string) string {
+		if r.Header.Get("Id") == "1" {
+			return "HTTP/1.1 500 X\r\nId: 1\r\nMark: m\r\nContent-Length: 0\r\n\r\n"
+		}
+		return whole(r, "near")
+	})
+	far := newUpstream(t, "far", func(r *http.Request, _ string) string { return whole(r, "far") })
+	entry := start("entry", "t", "127.0.0.1:1", here)
+	start("near", "s", near.address, here).beat(t, k, near, "s", 50)
+	start("far", "s", far.address, wasabistand.Location{Region: "other", FailureDomain: "e"}).beat(t, k, far, "s", 50)
+	assert.Equal(t, entry.call(t, http.MethodPost, "/book/x", "0", "").body, "near")
+	assert.Equal(t, entry.call(t, http.MethodPost, "/book/x", "1", "").status, http.StatusInternalServerError)
+	assert.Equal(t, entry.call(t, http.MethodPost, "/book/x", "2", "").body, "near")
+}
