wasabihttp: bound what an upstream sends before a response, and tell responses apart

Cause: informational responses without end kept a call until its deadline; bytes without end on an idle connection stayed in the kernel until the connection was reused; a response with two IDs was taken for the one of either request; a request without an ID was sent on a used connection, where nothing tells its response from a repeated refusal. Change: at most 16 informational responses; idle connections are checked for unexpected bytes; a response must repeat exactly one ID; a request without an ID gets a connection of its own. The case "cut body" of TestOutcomes now plays a truncated body; it played a closed connection before, which "no response" covers.

--- a/internal/edge/wasabihttp/upstream.go
+++ b/internal/edge/wasabihttp/upstream.go
@@ -35,7 +35,9 @@
 	// DialTimeout bounds the opening of a connection.
 	DialTimeout time.Duration
 	// EchoHeader is a header field that a response repeats from its request. A
-	// response with another value belongs to an earlier request. Empty for none.
+	// response with another value belongs to an earlier request. A request without
+	// the field is sent on a connection of its own, since nothing tells its response
+	// from a repeated one. Empty for none.
 	EchoHeader string
 	// MaxHeaderBytes bounds the head of a response.
 	MaxHeaderBytes int
@@ -44,6 +46,9 @@
 // maxStrayResponses bounds the responses to earlier requests that are skipped.
 const maxStrayResponses = 4
 
+// maxInformational bounds the 1xx responses that are skipped before a response.
+const maxInformational = 16
+
 // maxStrayBytes bounds the body of a response that is skipped.
 const maxStrayBytes = 1 << 20
 
@@ -123,10 +128,30 @@
 	}
 }
 
+// acquire returns an idle connection or dials one.
 func (u *Upstream) acquire(ctx context.Context) (*upstreamConn, error) {
 	if c := u.takeIdle(time.Now()); c != nil {
 		return c, nil
 	}
+	return u.dial(ctx)
+}
+
+// acquireUnused dials a connection, in place of an idle one if no further
+// connection is allowed.
+func (u *Upstream) acquireUnused(ctx context.Context) (*upstreamConn, error) {
+	u.mu.Lock()
+	var replaced *upstreamConn
+	if len(u.idle) > 0 && u.open >= u.options.MaxConnections {
+		replaced, u.idle = u.idle[0], u.idle[1:]
+	}
+	u.mu.Unlock()
+	if replaced != nil {
+		replaced.close()
+	}
+	return u.dial(ctx)
+}
+
+func (u *Upstream) dial(ctx context.Context) (*upstreamConn, error) {
 	u.mu.Lock()
 	if u.closed || u.open >= u.options.MaxConnections {
 		u.mu.Unlock()
@@ -149,13 +174,18 @@
 	return c, nil
 }
 
-// Prune closes the connections that have exceeded their idle timeout.
+// maxPruneChecks bounds the idle connections that one Prune checks for unexpected
+// bytes.
+const maxPruneChecks = 8
+
+// Prune closes the connections that have exceeded their idle timeout, and those
+// among the longest idle ones that the upstream has closed or sends bytes on.
 func (u *Upstream) Prune(now time.Time) {
 	u.mu.Lock()
 	var expired []*upstreamConn
 	kept := u.idle[:0]
-	for _, c := range u.idle {
-		if now.Sub(c.idleSince) >= c.idleTimeout {
+	for i, c := range u.idle {
+		if now.Sub(c.idleSince) >= c.idleTimeout || i < maxPruneChecks && !isIdle(c.raw) {
 			expired = append(expired, c)
 		} else {
 			kept = append(kept, c)
@@ -183,7 +213,11 @@
 // that are ErrNotSent or ErrFull mean that the upstream has received nothing of it;
 // with all others it is unknown whether it ran. The context bounds the whole call.
 func (u *Upstream) Do(ctx context.Context, r *http.Request) (*Call, error) {
-	c, err := u.acquire(ctx)
+	acquire, hasEcho := u.acquire, u.options.EchoHeader == "" || r.Header.Get(u.options.EchoHeader) != ""
+	if !hasEcho {
+		acquire = u.acquireUnused
+	}
+	c, err := acquire(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -191,7 +225,7 @@
 		u.release(c)
 		return nil, errors.Join(ErrNotSent, ctx.Err())
 	}
-	call := &Call{conn: c, sent: make(chan error, 1)}
+	call := &Call{conn: c, sent: make(chan error, 1), notReusable: !hasEcho}
 	call.stop = context.AfterFunc(ctx, func() { _ = c.raw.Close() })
 	if r.Body == nil || r.Body == http.NoBody {
 		if err := call.write(r); err != nil {
@@ -208,7 +242,7 @@
 		if err = call.read(ctx, r); err != nil {
 			break
 		}
-		if u.options.EchoHeader == "" || call.Response.Header.Get(u.options.EchoHeader) == r.Header.Get(u.options.EchoHeader) {
+		if u.isResponseTo(call.Response, r) {
 			return call, nil
 		}
 		// The response belongs to an earlier request. The connection will not be
@@ -226,6 +260,18 @@
 	return nil, err
 }
 
+// isResponseTo reports whether a response repeats the echo header of a request.
+func (u *Upstream) isResponseTo(resp *http.Response, r *http.Request) bool {
+	if u.options.EchoHeader == "" {
+		return true
+	}
+	values := resp.Header.Values(u.options.EchoHeader)
+	if len(values) == 0 {
+		values = []string{""}
+	}
+	return len(values) == 1 && values[0] == r.Header.Get(u.options.EchoHeader)
+}
+
 func (c *Call) write(r *http.Request) error {
 	if err := r.Write(c.conn.writer); err != nil {
 		return err
@@ -234,7 +280,7 @@
 }
 
 func (c *Call) read(ctx context.Context, r *http.Request) error {
-	for {
+	for range maxInformational {
 		c.conn.header.active, c.conn.header.remaining = true, c.conn.owner.options.MaxHeaderBytes+readBuffer
 		//nolint:bodyclose // The body ends with the call, which owns the connection.
 		resp, err := http.ReadResponse(c.conn.reader, r)
@@ -253,6 +299,7 @@
 			return ErrBadResponse
 		}
 	}
+	return errors.Join(ErrBadResponse, Error.New("more than %d 1xx responses", maxInformational))
 }
 
 // Read reads the response's body. io.EOF means that it is complete.
--- a/internal/traffic/wasabigateway/gateway_test.go
+++ b/internal/traffic/wasabigateway/gateway_test.go
@@ -39,6 +39,9 @@
 	respond func(r *http.Request, body string) string
 	health  string
 	gone    chan string
+	// repeat is written before each response but the first of a connection; it is
+	// guarded by mu.
+	repeat string
 }
 
 func newUpstream(t *testing.T, name string, respond func(r *http.Request, body string) string) *upstream {
@@ -62,7 +65,7 @@
 func (u *upstream) serve(c net.Conn) {
 	defer c.Close()
 	r := bufio.NewReader(c)
-	for {
+	for first := true; ; first = false {
 		q, err := http.ReadRequest(r)
 		if err != nil {
 			return
@@ -78,7 +81,13 @@
 			u.mu.Unlock()
 			text = u.respond(q, string(body))
 		}
-		if _, err := io.WriteString(c, text); err != nil || text == "" {
+		rest, closes := strings.CutSuffix(text, "!")
+		u.mu.Lock()
+		if !first {
+			rest = u.repeat + rest
+		}
+		u.mu.Unlock()
+		if _, err := io.WriteString(c, rest); err != nil || text == "" || closes {
 			return
 		}
 	}
@@ -101,6 +110,7 @@
 	changed atomic.Pointer[chan struct{}]
 	// silent suppresses the change signal of announcements.
 	silent atomic.Bool
+	list   []wasabistand.Instance // all announcements
 }
 
 func newControl(c *wasabistand.Configuration) *control {
@@ -122,6 +132,7 @@
 func (k *control) announce(i wasabistand.Instance) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.list = append(k.list, i)
 	v := *k.view.Load()
 	all := map[string][]wasabistand.Instance{}
 	for s, list := range v.Instances {
@@ -141,6 +152,13 @@
 	close(*k.changed.Swap(&next))
 }
 
+// announced returns all announcements in their order.
+func (k *control) announced() []wasabistand.Instance {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return append([]wasabistand.Instance(nil), k.list...)
+}
+
 type node struct {
 	*wasabigateway.Gateway
 	address string
@@ -290,25 +308,9 @@
 			entry := newNode(t, k, "entry", "t", "127.0.0.1:1")
 			for _, name := range []string{"a", "b", "c"} {
 				u := newUpstream(t, name, script)
-				u.respond = func(r *http.Request, body string) string {
-					text := script(r, body)
-					if rest, truncated := strings.CutSuffix(text, "!"); truncated {
-						return rest
-					}
-					return text
-				}
 				newNode(t, k, name, "s", u.address).sendHeartbeat(t, k, u, "s", 5)
 				all = append(all, u)
 			}
-			if test.name == "cut body" {
-				// The upstream closes the connection without a response.
-				for _, u := range all {
-					u.respond = func(r *http.Request, body string) string {
-						_ = script(r, body)
-						return ""
-					}
-				}
-			}
 			a := entry.call(t, test.method, test.path, "1", "")
 			runs := 0
 			for _, u := range all {
@@ -356,7 +358,7 @@
 	for n.Load().Waiting != 1 {
 		runtime.Gosched()
 	}
-	assert.NilError(t, n.Heartbeat(wasabiinstance.Report{ID: "i", Born: 1, Sequence: 2, Service: "s", Slots: 1, Leaving: true}))
+	assert.NilError(t, n.Heartbeat(wasabiinstance.Report{ID: "i", Born: 1, Sequence: 2, Service: "s", Address: u.address, Slots: 1, Leaving: true}))
 	assert.Equal(t, (<-second).status, 503)
 	close(release)
 	assert.Equal(t, (<-first).status, 200)
