Reject heartbeats that do not describe the node's instance

Cause: a heartbeat of another sender with 100,001 to 1,000,000 slots was accepted and announced; control refuses such an announcement, so the node would lose its session at every control instance and follow no configuration or list any more. One with another address or any ID replaced the instance until its next heartbeat.

--- a/internal/policy/wasabiinstance/instance.go
+++ b/internal/policy/wasabiinstance/instance.go
@@ -1,16 +1,18 @@
 // Package wasabiinstance tracks the state of a node's local upstream instance from
 // the heartbeats that the instance sends. Heartbeats may arrive late, duplicated or
-// from an earlier incarnation. The package decides whether the instance accepts new
-// calls. It does no I/O.
+// from an earlier incarnation, and may come from senders that are not the instance.
+// The package decides whether the instance accepts new calls. It does no I/O.
 package wasabiinstance
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/zeebo/errs"
 
 	"github.com/wasabistand/wasabistand"
+	"github.com/wasabistand/wasabistand/wasabiwire"
 )
 
 // ErrStale is the error class of obsolete reports: from an earlier incarnation, or
@@ -63,26 +65,22 @@
 // Tracker tracks the state of one instance. It is not safe for concurrent use.
 type Tracker struct {
 	service string
+	address string
 	state   State
 }
 
-// New returns a Tracker for an instance of the given service.
-func New(service string) *Tracker { return &Tracker{service: service} }
+// New returns a Tracker for the instance of a service that listens at an address.
+func New(service, address string) *Tracker { return &Tracker{service: service, address: address} }
 
 // State returns the current state.
 func (t *Tracker) State() State { return t.state }
 
 // Heartbeat applies a report. The error is of class ErrStale for a superseded
-// report, and of class wasabistand.ErrInvalid for one without an instance ID, of
-// another service or without slots.
+// report, and of class wasabistand.ErrInvalid for one that doesn't describe the
+// instance.
 func (t *Tracker) Heartbeat(now time.Time, r Report) error {
-	switch {
-	case r.ID == "":
-		return wasabistand.ErrInvalid.New("id: empty")
-	case r.Service != t.service:
-		return wasabistand.ErrInvalid.New("service: %q, allowed is %q", r.Service, t.service)
-	case r.Slots < 1:
-		return wasabistand.ErrInvalid.New("slots: %d, allowed are 1 and above", r.Slots)
+	if err := t.validate(r); err != nil {
+		return err
 	}
 	if t.state.Known {
 		switch newer, err := t.startsIncarnation(r); {
@@ -107,6 +105,22 @@
 	return nil
 }
 
+// validate checks that a report describes the tracked instance, within the limits
+// that control instances accept. The error is of class wasabistand.ErrInvalid.
+func (t *Tracker) validate(r Report) error {
+	switch {
+	case r.ID == "" || len(r.ID) > wasabiwire.MaxNameBytes || strings.ContainsFunc(r.ID, func(c rune) bool { return c <= ' ' || c > '~' }):
+		return wasabistand.ErrInvalid.New("id: %.64q, allowed are 1 to %d visible ASCII characters", r.ID, wasabiwire.MaxNameBytes)
+	case r.Service != t.service:
+		return wasabistand.ErrInvalid.New("service: %.64q, allowed is %q", r.Service, t.service)
+	case r.Address != t.address:
+		return wasabistand.ErrInvalid.New("address: %.64q, allowed is %q", r.Address, t.address)
+	case r.Slots < 1 || r.Slots > wasabiwire.MaxSlots:
+		return wasabistand.ErrInvalid.New("slots: %d, allowed are 1 to %d", r.Slots, wasabiwire.MaxSlots)
+	}
+	return nil
+}
+
 // startsIncarnation reports whether a report is the first of a new incarnation. The
 // error is of class ErrStale.
 func (t *Tracker) startsIncarnation(r Report) (bool, error) {
--- a/internal/policy/wasabiinstance/instance_test.go
+++ b/internal/policy/wasabiinstance/instance_test.go
@@ -24,12 +24,12 @@
 			for sequence := range rapid.IntRange(1, 5).Draw(t, "reports") {
 				leaving = leaving || rapid.IntRange(0, 3).Draw(t, "leaves") == 0
 				sent = append(sent, wasabiinstance.Report{
-					ID: rapid.SampledFrom([]string{"i", "j"}).Draw(t, "id"), Born: uint64(life + 1), Sequence: uint64(sequence + 1), Service: "s", Slots: 1, Leaving: leaving,
+					ID: rapid.SampledFrom([]string{"i", "j"}).Draw(t, "id"), Born: uint64(life + 1), Sequence: uint64(sequence + 1), Service: "s", Address: "10.0.0.1:80", Slots: 1, Leaving: leaving,
 				})
 				sent[len(sent)-1].ID = sent[len(sent)-1-sequence].ID
 			}
 		}
-		tracker := wasabiinstance.New("s")
+		tracker := wasabiinstance.New("s", "10.0.0.1:80")
 		newest, leaving := wasabiinstance.Report{}, false
 		for range rapid.IntRange(1, 20).Draw(t, "deliveries") {
 			r := rapid.SampledFrom(sent).Draw(t, "report")
@@ -53,9 +53,9 @@
 // Guards against work for an instance that deregistered and whose last heartbeat
 // arrives afterwards.
 func TestDeregistrationIsFinal(t *testing.T) {
-	tracker := wasabiinstance.New("s")
+	tracker := wasabiinstance.New("s", "10.0.0.1:80")
 	now := time.Unix(1, 0)
-	r := wasabiinstance.Report{ID: "i", Born: 5, Sequence: 1, Service: "s", Slots: 3}
+	r := wasabiinstance.Report{ID: "i", Born: 5, Sequence: 1, Service: "s", Address: "10.0.0.1:80", Slots: 3}
 	assert.NilError(t, tracker.Heartbeat(now, r))
 	tracker.Confirm(now, tracker.State().Lifetime, true)
 	assert.Assert(t, tracker.State().AcceptsCalls())
@@ -73,20 +73,21 @@
 // Guards against a node that restarts, has lost the instance's drain and trusts a
 // late heartbeat.
 func TestRestartedNodeConfirmsBeforeSendingWork(t *testing.T) {
-	tracker := wasabiinstance.New("s")
+	tracker := wasabiinstance.New("s", "10.0.0.1:80")
 	now := time.Unix(1, 0)
-	assert.NilError(t, tracker.Heartbeat(now, wasabiinstance.Report{ID: "i", Born: 5, Sequence: 8, Service: "s", Slots: 3}))
+	assert.NilError(t, tracker.Heartbeat(now, wasabiinstance.Report{ID: "i", Born: 5, Sequence: 8, Service: "s", Address: "10.0.0.1:80", Slots: 3}))
 	assert.Assert(t, !tracker.State().AcceptsCalls())
 	tracker.Confirm(now, tracker.State().Lifetime, false)
 	assert.Assert(t, tracker.State().Leaving)
 }
 
-// Guards against accepting reports without an ID, of another service, or without
-// slots.
+// Guards against accepting reports without an ID, of another service or address, or
+// without slots.
 func TestInvalidReportsAreRejected(t *testing.T) {
-	tracker := wasabiinstance.New("s")
+	tracker := wasabiinstance.New("s", "10.0.0.1:80")
 	for _, r := range []wasabiinstance.Report{
-		{Service: "s", Slots: 1}, {ID: "i", Service: "t", Slots: 1}, {ID: "i", Service: "s"},
+		{Service: "s", Address: "10.0.0.1:80", Slots: 1}, {ID: "i", Service: "t", Address: "10.0.0.1:80", Slots: 1},
+		{ID: "i", Service: "s", Address: "10.0.0.1:80"}, {ID: "i", Service: "s", Address: "10.0.0.2:80", Slots: 1},
 	} {
 		assert.Assert(t, wasabistand.ErrInvalid.Has(tracker.Heartbeat(time.Unix(1, 0), r)))
 	}
--- a/internal/traffic/wasabigateway/gateway.go
+++ b/internal/traffic/wasabigateway/gateway.go
@@ -209,8 +209,8 @@
 func (g *Gateway) Ready() bool { return g.config.Load() != nil && g.stoppingSince.Load() == 0 }
 
 // Heartbeat records a report of the instance. The error is of class
-// wasabistand.ErrInvalid for a report without an instance ID, of another service or
-// without slots, and of wasabiinstance.ErrStale for a superseded one.
+// wasabistand.ErrInvalid for a report that doesn't describe the instance, and of
+// wasabiinstance.ErrStale for a superseded one.
 func (g *Gateway) Heartbeat(r wasabiinstance.Report) error { return g.local.heartbeat(r) }
 
 // Load returns the load of the local instance.
--- a/internal/traffic/wasabigateway/local.go
+++ b/internal/traffic/wasabigateway/local.go
@@ -69,7 +69,7 @@
 }
 
 func newLocalInstance(g *Gateway, log zerolog.Logger) *localInstance {
-	return &localInstance{gateway: g, log: log, tracker: wasabiinstance.New(g.settings.service), maxConns: defaultMaxConnections, healthPath: "/health"}
+	return &localInstance{gateway: g, log: log, tracker: wasabiinstance.New(g.settings.service, g.settings.upstream), maxConns: defaultMaxConnections, healthPath: "/health"}
 }
 
 // currentLease returns the lease under which a call may be sent to the instance.
