wasabilink: end the reads of all streams before the session shuts down

Change: a link holds its open streams and sets an expired read deadline on each before the connection closes, or before yamux learns that a read failed. Bytes that have arrived are still read.

--- a/wasabilink/frame.go
+++ b/wasabilink/frame.go
@@ -45,6 +45,8 @@
 	// lastRead is when bytes were last received.
 	lastRead atomicTime
 	closed   atomic.Bool
+	// onReadError is called before yamux gets the error of a read.
+	onReadError func(error)
 
 	mu             sync.Mutex
 	writable       sync.Cond
@@ -57,8 +59,8 @@
 	writers        sync.WaitGroup
 }
 
-func newFrameConn(c net.Conn) *frameConn {
-	f := &frameConn{Conn: c}
+func newFrameConn(c net.Conn, onReadError func(error)) *frameConn {
+	f := &frameConn{Conn: c, onReadError: onReadError}
 	f.writable.L = &f.mu
 	f.lastRead.store(monotonicNow())
 	return f
@@ -72,6 +74,7 @@
 		c.lastRead.store(monotonicNow())
 	}
 	if err != nil {
+		c.onReadError(err)
 		_ = c.Close()
 	}
 	return n, err
--- a/wasabilink/link.go
+++ b/wasabilink/link.go
@@ -69,6 +69,7 @@
 
 	streams atomic.Int64
 	lastUse atomicTime
+	reads   pendingReads
 	// activeSince is when the number of open streams last rose from zero.
 	activeSince atomicTime
 	// unansweredSince is the start of the peer's silence while a ping is
@@ -114,14 +115,14 @@
 	if client {
 		open = yamux.Client
 	}
-	frames := newFrameConn(conn)
-	session, err := open(frames, yamuxConfig(o))
-	if err != nil {
+	l := &Link{options: o, address: address, handler: h}
+	l.ctx, l.cancel = context.WithCancelCause(context.Background())
+	l.conn = newFrameConn(conn, l.handleReadError)
+	var err error
+	if l.session, err = open(l.conn, yamuxConfig(o)); err != nil {
 		_ = conn.Close()
 		return nil, Error.Wrap(err)
 	}
-	l := &Link{options: o, address: address, conn: frames, session: session, handler: h}
-	l.ctx, l.cancel = context.WithCancelCause(context.Background())
 	stop := context.AfterFunc(ctx, l.closeSession)
 	err = l.handshake(client, deadline)
 	if !stop() && err == nil {
@@ -244,7 +245,7 @@
 	if err != nil {
 		return nil, false, err
 	}
-	stop := context.AfterFunc(ctx, func() { _ = s.SetDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(ctx, func() { _ = s.SetDeadline(expired) })
 	defer stop()
 	if err := s.send(&wasabistandv1.StreamOpen{Kind: kind}, first); err != nil {
 		sent := s.Wrote()
@@ -289,10 +290,19 @@
 	})
 }
 
-// closeSession closes the connection first, which ends the session's reader,
-// and then the session. If the session were closed first, the readers of its
-// streams would spin while yamux waits for its own reader.
+// handleReadError ends the reads of all streams when the connection has failed,
+// before yamux learns of it.
+func (l *Link) handleReadError(err error) {
+	l.cancel(Error.Wrap(err))
+	l.reads.end()
+}
+
+// closeSession ends the reads of all streams, then closes the connection, which
+// ends the session's reader, and then the session. Otherwise the readers of the
+// streams would spin from the shutdown of the session until yamux has ended each
+// stream, and contend with it for their locks.
 func (l *Link) closeSession() {
+	l.reads.end()
 	_ = l.conn.Close()
 	limit := time.NewTimer(sessionCloseTimeout)
 	defer limit.Stop()
--- a/wasabilink/stream.go
+++ b/wasabilink/stream.go
@@ -41,9 +41,51 @@
 	if l.streams.Add(1) == 1 {
 		l.activeSince.store(monotonicNow())
 	}
-	return &Stream{link: l, raw: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}
+	s := &Stream{link: l, raw: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}
+	l.reads.add(s)
+	return s
 }
 
+// pendingReads holds the open streams of a link, to end their reads with the link.
+type pendingReads struct {
+	mu      sync.Mutex
+	streams map[*Stream]struct{}
+	ended   bool
+}
+
+func (p *pendingReads) add(s *Stream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.streams == nil {
+		p.streams = map[*Stream]struct{}{}
+	}
+	p.streams[s] = struct{}{}
+	if p.ended {
+		s.endReads()
+	}
+}
+
+func (p *pendingReads) remove(s *Stream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.streams, s)
+}
+
+func (p *pendingReads) end() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ended = true
+	for s := range p.streams {
+		s.endReads()
+	}
+}
+
+// endReads makes reads fail once the bytes that have arrived are read.
+func (s *Stream) endReads() { _ = s.raw.SetReadDeadline(expired) }
+
+// expired is a deadline in the past.
+var expired = time.Unix(1, 0)
+
 // Send writes one frame. It blocks while the peer's receive window is full.
 func (s *Stream) Send(m proto.Message) error { return s.send(m) }
 
@@ -109,6 +151,7 @@
 func (s *Stream) close() {
 	s.closeOnce.Do(func() {
 		s.link.streams.Add(-1)
+		s.link.reads.remove(s)
 		s.link.lastUse.store(monotonicNow())
 		_ = s.raw.Close()
 	})
