Send nodes each entry of an incomplete list once, and a digest on a move

Change: wasabimember.Feed decides what a node is sent of a list: additions only while the list is incomplete, then the digest of the complete one, and the list itself only if the node's differs. A node that moves gets the digest first. Subscribing to a further service sends nothing again for the others.

--- a/wasabicontrol/hub.go
+++ b/wasabicontrol/hub.go
@@ -1,6 +1,7 @@
 package wasabicontrol
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +22,12 @@
 	maxLostInstances = 4096
 )
 
+// pushedList is the version of a list that all subscribers were sent.
+type pushedList struct {
+	version  uint64
+	complete bool
+}
+
 // hub owns the sessions and the membership. Its fields may be accessed only by
 // the goroutine of run; other goroutines submit functions with do.
 type hub struct {
@@ -31,15 +38,14 @@
 	done          chan struct{}
 	wait          sync.WaitGroup // goroutines that close streams
 
-	registry       *wasabimember.Registry
-	sessions       map[*session]struct{}
-	subscribers    map[string]map[*session]struct{} // by service
-	pushedVersions map[string]uint64                // last version sent, by service
-	pushedPartials map[string]uint64                // the same for partial lists
-	dirty          bool                             // lists may have changed since the last push
-	flushTimer     *time.Timer
-	flushArmed     bool
-	lastSync       time.Time
+	registry    *wasabimember.Registry
+	sessions    map[*session]struct{}
+	subscribers map[string]map[*session]struct{} // by service
+	pushedLists map[string]pushedList            // last list sent, by service
+	dirty       bool                             // lists may have changed since the last push
+	flushTimer  *time.Timer
+	flushArmed  bool
+	lastSync    time.Time
 	// completeAt is when the lists are complete again after a start or a loss
 	// of quorum.
 	completeAt    time.Time
@@ -59,7 +65,7 @@
 		instance: i, tasks: make(chan func(), 1024), configChanged: make(chan struct{}, 1),
 		stop: make(chan struct{}), done: make(chan struct{}),
 		registry: wasabimember.New(wasabimember.NewOptions(i.settings.id, uint64(time.Now().UnixNano())).WithLease(i.settings.lease)),
-		sessions: map[*session]struct{}{}, subscribers: map[string]map[*session]struct{}{}, pushedVersions: map[string]uint64{}, pushedPartials: map[string]uint64{},
+		sessions: map[*session]struct{}{}, subscribers: map[string]map[*session]struct{}{}, pushedLists: map[string]pushedList{},
 		peers: map[string]*peer{}, peerLocations: map[string]peerLocation{},
 		lastListed: map[string]wasabistand.InstanceState{}, lostAt: map[string]time.Time{},
 	}
@@ -231,7 +237,8 @@
 }
 
 // setSubscriptions replaces the services that a node subscribes to.
-func (h *hub) setSubscriptions(s *session, versions map[string]uint64) {
+func (h *hub) setSubscriptions(s *session, m *wasabistandv1.Interest) {
+	versions := m.GetServices()
 	if len(versions) > maxSubscriptions {
 		h.refuse(s, "too-many-interests")
 		return
@@ -245,16 +252,16 @@
 		if name == "" || len(name) > 128 {
 			continue
 		}
-		s.subscriptions[name] = version
+		if slices.Contains(m.GetResend(), name) {
+			s.subscriptions[name] = wasabimember.NewFeed(0, false)
+		} else if _, ok := s.subscriptions[name]; !ok {
+			s.subscriptions[name] = wasabimember.NewFeed(version, version == 0 && slices.Contains(m.GetHeld(), name))
+		}
 		if h.subscribers[name] == nil {
 			h.subscribers[name] = map[*session]struct{}{}
 		}
 		h.subscribers[name][s] = struct{}{}
-		if h.listsComplete(time.Now()) {
-			h.pushDelta(s, name, nil)
-		} else if f := h.partialFrame(name); f != nil {
-			h.send(s, f)
-		}
+		h.pushUpdate(s, name, h.listsComplete(time.Now()), nil)
 	}
 }
 
@@ -263,8 +270,7 @@
 	delete(h.subscribers[name], s)
 	if len(h.subscribers[name]) == 0 {
 		delete(h.subscribers, name)
-		delete(h.pushedVersions, name)
-		delete(h.pushedPartials, name)
+		delete(h.pushedLists, name)
 	}
 }
 
@@ -348,71 +354,50 @@
 	return &wasabistandv1.ControlFrame{Kind: &wasabistandv1.ControlFrame_Configuration{Configuration: u}}
 }
 
-// pushMembership sends deltas of changed lists to the sessions that subscribed
-// to them.
+// pushMembership sends changed lists to the sessions that subscribed to them.
 func (h *hub) pushMembership(now time.Time) {
 	if !h.dirty {
 		return
 	}
 	h.dirty = false
-	if !h.listsComplete(now) {
-		h.pushPartial()
-		return
-	}
+	complete := h.listsComplete(now)
 	for name, list := range h.subscribers {
-		version := h.registry.Version(name)
-		if h.pushedVersions[name] == version {
+		current := pushedList{h.registry.Version(name), complete}
+		if h.pushedLists[name] == current {
 			continue
 		}
-		h.pushedVersions[name] = version
-		frames := map[uint64]*wasabistandv1.ControlFrame{}
+		h.pushedLists[name] = current
+		updates := map[wasabimember.Feed]update{}
 		for s := range list {
-			h.pushDelta(s, name, frames)
-		}
-	}
-}
-
-// pushPartial sends the known part of the lists before they are complete. The
-// complete lists follow, since partial ones are not recorded as sent versions.
-func (h *hub) pushPartial() {
-	for name, list := range h.subscribers {
-		version := h.registry.Version(name)
-		if h.pushedPartials[name] == version {
-			continue
-		}
-		h.pushedPartials[name] = version
-		if f := h.partialFrame(name); f != nil {
-			for s := range list {
-				h.send(s, f)
-			}
+			h.pushUpdate(s, name, complete, updates)
 		}
 	}
 }
 
-// partialFrame returns a frame with the known part of a list, nil if it is empty.
-func (h *hub) partialFrame(name string) *wasabistandv1.ControlFrame {
-	d := h.registry.Delta(name, 0)
-	if d == nil || len(d.GetUpserts()) == 0 {
-		return nil
-	}
-	d.Partial = true
-	return &wasabistandv1.ControlFrame{Kind: &wasabistandv1.ControlFrame_Membership{Membership: d}}
+// update is a frame for all sessions with the same feed, nil for none, and their
+// feed after it.
+type update struct {
+	frame *wasabistandv1.ControlFrame
+	feed  wasabimember.Feed
 }
 
-func (h *hub) pushDelta(s *session, name string, frames map[uint64]*wasabistandv1.ControlFrame) {
-	base := s.subscriptions[name]
-	f, ok := frames[base]
+// pushUpdate sends a session what it lacks of a service's list. updates holds the
+// updates of other sessions, nil for none.
+func (h *hub) pushUpdate(s *session, name string, complete bool, updates map[wasabimember.Feed]update) {
+	feed := s.subscriptions[name]
+	u, ok := updates[feed]
 	if !ok {
-		if d := h.registry.Delta(name, base); d != nil {
-			f = &wasabistandv1.ControlFrame{Kind: &wasabistandv1.ControlFrame_Membership{Membership: d}}
+		var d *wasabistandv1.MembershipDelta
+		if d, u.feed = h.registry.Update(name, feed, complete); d != nil {
+			u.frame = &wasabistandv1.ControlFrame{Kind: &wasabistandv1.ControlFrame_Membership{Membership: d}}
 		}
-		if frames != nil {
-			frames[base] = f
+		if updates != nil {
+			updates[feed] = u
 		}
 	}
-	if f != nil {
-		s.subscriptions[name] = f.GetMembership().GetVersion()
-		h.send(s, f)
+	s.subscriptions[name] = u.feed
+	if u.frame != nil {
+		h.send(s, u.frame)
 	}
 }
 
--- a/wasabicontrol/session.go
+++ b/wasabicontrol/session.go
@@ -6,6 +6,7 @@
 
 	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
 	"github.com/wasabistand/wasabistand/wasabilink"
+	"github.com/wasabistand/wasabistand/wasabimember"
 	"github.com/wasabistand/wasabistand/wasabiwire"
 )
 
@@ -39,8 +40,8 @@
 	id               string
 	incarnation      uint64
 	sequence         uint64
-	subscriptions    map[string]uint64 // last version sent, by service
-	revision         uint64            // last revision sent
+	subscriptions    map[string]wasabimember.Feed // by service
+	revision         uint64                       // last revision sent
 	documentRevision uint64
 	ending           bool
 }
@@ -54,7 +55,7 @@
 // serveSession serves the session of one node until the stream ends.
 func (i *Instance) serveSession(ctx context.Context, stream *wasabilink.Stream) {
 	out := newOutbox(stream, i.settings.maxQueuedBytes)
-	s := &session{out: out, subscriptions: map[string]uint64{}}
+	s := &session{out: out, subscriptions: map[string]wasabimember.Feed{}}
 	if reason := i.startSession(ctx, s, stream); reason != "" {
 		i.metrics.sessionsEnded.WithLabelValues(reason).Inc()
 		i.log.Info().Str("Peer", stream.Link().Peer().Instance).Str("Reason", reason).Msg("session refused")
@@ -121,7 +122,7 @@
 	case *wasabistandv1.NodeFrame_Renew:
 		reason = h.renew(s, k.Renew)
 	case *wasabistandv1.NodeFrame_Interest:
-		h.setSubscriptions(s, k.Interest.GetServices())
+		h.setSubscriptions(s, k.Interest)
 	default:
 		reason = "bad-frame"
 	}
--- /dev/null
+++ b/wasabimember/feed.go
@@ -0,0 +1,90 @@
+package wasabimember
+
+import (
+	"encoding/binary"
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wasabistand/wasabistand"
+	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
+)
+
+// Feed tracks what one node has of the list of one service. It is an immutable
+// value. It answers the load of a restart or a loss of control instances, after
+// which all nodes subscribe within seconds while all instances announce themselves:
+// each node is sent each entry once, and a node that has the list already is sent
+// its digest only.
+type Feed struct {
+	// complete is the version of the complete list that the node was sent, 0 for
+	// none.
+	complete uint64
+	// partial is the version of the incomplete list that the node was sent.
+	partial uint64
+	// hasList is true if the node has entries that may already be the complete list.
+	hasList bool
+}
+
+// NewFeed returns the feed of a node that has a version of the complete list, 0 for
+// none. hasList is true if it has the list of another control instance.
+func NewFeed(version uint64, hasList bool) Feed { return Feed{complete: version, hasList: hasList} }
+
+// Update returns what a node must be sent of a service's list, nil if nothing, and
+// its feed after that. complete is true if the registry knows all instances; until
+// then the node is only sent additions to the list that it has.
+func (r *Registry) Update(service string, f Feed, complete bool) (*wasabistandv1.MembershipDelta, Feed) {
+	switch version := r.Version(service); {
+	case !complete:
+		d := r.Delta(service, max(f.complete, f.partial))
+		f.partial = version
+		if d == nil || len(d.GetUpserts()) == 0 {
+			return nil, f
+		}
+		d.Partial, d.BaseVersion, d.Removes = true, 0, nil
+		f.hasList = true
+		return d, f
+	case f.complete == 0 && f.hasList:
+		return &wasabistandv1.MembershipDelta{Service: service, Version: version, Digest: r.listDigest(service)}, Feed{complete: version}
+	default:
+		return r.Delta(service, f.complete), Feed{complete: version}
+	}
+}
+
+// listDigest returns the digest of a service's list.
+func (r *Registry) listDigest(service string) uint64 {
+	s := r.services[service]
+	if s == nil {
+		return Digest(nil)
+	}
+	if s.digestVersion != s.version {
+		list := make(map[string]wasabistand.Instance, len(s.members))
+		for id, m := range s.members {
+			list[id] = m.published
+		}
+		s.digest, s.digestVersion = Digest(list), s.version
+	}
+	return s.digest
+}
+
+// Digest returns a hash of a list of instances by ID, as sent to nodes. It is never
+// 0.
+func Digest(list map[string]wasabistand.Instance) uint64 {
+	h := xxhash.New()
+	var buffer [512]byte
+	for _, id := range slices.Sorted(maps.Keys(list)) {
+		i := list[id]
+		b := appendIdentity(buffer[:0], &i)
+		b = binary.AppendUvarint(b, i.Incarnation)
+		b = binary.AppendUvarint(b, uint64(i.Slots))
+		b = binary.AppendUvarint(b, uint64(i.Connections))
+		b = append(b, byte(i.State))
+		if i.Suspect {
+			b = append(b, 1)
+		}
+		// The length keeps adjacent entries apart.
+		b = binary.AppendUvarint(b, uint64(len(b)))
+		_, _ = h.Write(b)
+	}
+	return max(h.Sum64(), 1)
+}
--- /dev/null
+++ b/wasabimember/feed_test.go
@@ -0,0 +1,142 @@
+package wasabimember_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/wasabistand/wasabistand"
+	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
+	"github.com/wasabistand/wasabistand/wasabimember"
+	"github.com/wasabistand/wasabistand/wasabiwire"
+)
+
+// subscriber is a model of a node that follows one service.
+type subscriber struct {
+	feed  wasabimember.Feed
+	list  map[string]wasabistand.Instance
+	bytes int
+}
+
+// receive applies what a registry sends, and asks for the list if it has another.
+func (s *subscriber) receive(t *testing.T, r *wasabimember.Registry, complete bool) {
+	t.Helper()
+	var d *wasabistandv1.MembershipDelta
+	d, s.feed = r.Update("archive", s.feed, complete)
+	if d == nil {
+		return
+	}
+	s.bytes += proto.Size(d)
+	if d.GetDigest() != 0 {
+		if wasabimember.Digest(s.list) != d.GetDigest() {
+			s.feed = wasabimember.NewFeed(0, false)
+			s.receive(t, r, complete)
+		}
+		return
+	}
+	if d.GetBaseVersion() == 0 && !d.GetPartial() {
+		clear(s.list)
+	}
+	for _, id := range d.GetRemoves() {
+		delete(s.list, id)
+	}
+	for _, m := range d.GetUpserts() {
+		i, err := wasabiwire.ToInstance(m)
+		assert.NilError(t, err)
+		s.list[i.ID] = i
+	}
+}
+
+// assertList checks that the node has the registry's list.
+func (s *subscriber) assertList(t *testing.T, r *wasabimember.Registry) {
+	t.Helper()
+	want := r.List("archive")
+	assert.Equal(t, len(s.list), len(want))
+	for _, i := range want {
+		i.Sequence = 0
+		assert.Equal(t, s.list[i.ID], i)
+	}
+}
+
+// TestRestartSendsEachEntryOnce plays the restart of all: nodes subscribe while the
+// instances announce themselves one after another, and the control instance flushes
+// after each. It guards against bytes that grow with the square of the announcements
+// a node.
+func TestRestartSendsEachEntryOnce(t *testing.T) {
+	for _, size := range []int{30, 300} {
+		r := wasabimember.New(wasabimember.NewOptions("control-1", 1))
+		random := rand.New(rand.NewPCG(1, uint64(size)))
+		var nodes []*subscriber
+		for n := range size {
+			assert.NilError(t, r.Announce(start, instance(n)))
+			if random.IntN(4) == 0 {
+				nodes = append(nodes, &subscriber{list: map[string]wasabistand.Instance{}})
+			}
+			for _, s := range nodes {
+				s.receive(t, r, false)
+			}
+		}
+		full := proto.Size(r.Delta("archive", 0))
+		for _, s := range nodes {
+			s.receive(t, r, true)
+			s.assertList(t, r)
+			assert.Assert(t, s.bytes <= full*3/2, "%d instances: %d bytes for a list of %d", size, s.bytes, full)
+		}
+	}
+}
+
+// TestMoveSendsDigest plays the loss of a control instance: its nodes move to
+// another one, which has the same list.
+func TestMoveSendsDigest(t *testing.T) {
+	from, to := wasabimember.New(wasabimember.NewOptions("control-1", 1)), wasabimember.New(wasabimember.NewOptions("control-2", 1))
+	announce(t, from, start, 280)
+	assert.NilError(t, to.Merge(start, from.BuildSync(start, true)))
+	s := &subscriber{list: map[string]wasabistand.Instance{}}
+	s.receive(t, from, true)
+	s.assertList(t, from)
+	assert.Equal(t, len(s.list), 280)
+	s.feed, s.bytes = wasabimember.NewFeed(0, true), 0
+	s.receive(t, to, true)
+	s.assertList(t, to)
+	assert.Assert(t, s.bytes < 64, "%d bytes", s.bytes)
+}
+
+// TestMoveRepairsOldList guards against a node that keeps instances that left while
+// it moved, or misses new ones.
+func TestMoveRepairsOldList(t *testing.T) {
+	for seed := range uint64(50) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		r := wasabimember.New(wasabimember.NewOptions("control-1", 1))
+		s := &subscriber{list: map[string]wasabistand.Instance{}}
+		for n := range 20 {
+			i := instance(n)
+			switch random.IntN(3) {
+			case 0:
+				s.list[i.ID] = i
+			case 1:
+				i.Slots += random.IntN(2)
+				i.Sequence = 0
+				s.list[i.ID] = i
+				fallthrough
+			default:
+				assert.NilError(t, r.Announce(start, instance(n)))
+			}
+		}
+		s.feed = wasabimember.NewFeed(0, true)
+		if random.IntN(2) == 0 {
+			s.receive(t, r, false)
+		}
+		s.receive(t, r, true)
+		s.assertList(t, r)
+		late := fmt.Sprintf("late-%d", seed)
+		i := instance(0)
+		i.ID = late
+		assert.NilError(t, r.Announce(start.Add(time.Second), i))
+		s.receive(t, r, true)
+		s.assertList(t, r)
+	}
+}
--- a/wasabimember/list.go
+++ b/wasabimember/list.go
@@ -97,12 +97,8 @@
 // computeDigest hashes the fields on which all copies of a list must agree.
 func (e *entry) computeDigest() uint64 {
 	var buffer [512]byte
-	b := buffer[:0]
 	i := &e.instance
-	for _, s := range []string{i.ID, i.Service, i.LinkAddress, i.AdminAddress, i.Location.Region, i.Location.FailureDomain} {
-		b = binary.AppendUvarint(b, uint64(len(s)))
-		b = append(b, s...)
-	}
+	b := appendIdentity(buffer[:0], i)
 	for _, n := range []uint64{i.Incarnation, i.Sequence, uint64(i.Slots), uint64(i.Connections), i.AppliedRevision} {
 		b = binary.AppendUvarint(b, n)
 	}
@@ -110,6 +106,15 @@
 	return xxhash.Sum64(b)
 }
 
+// appendIdentity appends the names and addresses of an instance.
+func appendIdentity(b []byte, i *wasabistand.Instance) []byte {
+	for _, s := range [...]string{i.ID, i.Service, i.LinkAddress, i.AdminAddress, i.Location.Region, i.Location.FailureDomain} {
+		b = binary.AppendUvarint(b, uint64(len(s)))
+		b = append(b, s...)
+	}
+	return b
+}
+
 // compareAnnouncements orders announcements of one instance.
 func compareAnnouncements(a, b wasabistand.Instance) int {
 	if c := cmp.Compare(a.Incarnation, b.Incarnation); c != 0 {
--- a/wasabimember/service.go
+++ b/wasabimember/service.go
@@ -18,6 +18,9 @@
 	// logStart is the oldest version since which changes is complete.
 	logStart uint64
 	changes  []change
+	// digest is that of the list at digestVersion.
+	digest        uint64
+	digestVersion uint64
 	// emptySince is when Tick first found the service without members.
 	emptySince time.Time
 }
--- a/wasabisession/session_stream.go
+++ b/wasabisession/session_stream.go
@@ -162,13 +162,12 @@
 
 func (c *sessionStream) sendSubscriptions() bool {
 	c.resync = false
-	m := &wasabistandv1.Interest{Services: map[string]uint64{}}
+	var services []string
 	c.session.subscriptions.Range(func(k, _ any) bool {
-		name := k.(string)
-		m.Services[name] = c.session.state.versions[name]
+		services = append(services, k.(string))
 		return true
 	})
-	return c.send(&wasabistandv1.NodeFrame{Kind: &wasabistandv1.NodeFrame_Interest{Interest: m}})
+	return c.send(&wasabistandv1.NodeFrame{Kind: &wasabistandv1.NodeFrame_Interest{Interest: c.session.state.interest(services)}})
 }
 
 func (c *sessionStream) send(f *wasabistandv1.NodeFrame) bool { return c.stream.Send(f) == nil }
--- a/wasabisession/state.go
+++ b/wasabisession/state.go
@@ -8,6 +8,7 @@
 	"github.com/wasabistand/wasabistand"
 	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
 	"github.com/wasabistand/wasabistand/wasabiconfig"
+	"github.com/wasabistand/wasabistand/wasabimember"
 	"github.com/wasabistand/wasabistand/wasabiwire"
 )
 
@@ -29,13 +30,18 @@
 	members          map[string]map[string]wasabistand.Instance
 	instances        map[string][]wasabistand.Instance
 	versions         map[string]uint64
-	dirty            bool
+	// unverified holds the services whose list is that of another control instance
+	// and may be the current one.
+	unverified map[string]bool
+	// resend holds the services whose list does not match what control sent.
+	resend map[string]bool
+	dirty  bool
 }
 
 func newState(self string) state {
 	return state{
 		self: self, configuration: wasabiconfig.Default(), members: map[string]map[string]wasabistand.Instance{},
-		instances: map[string][]wasabistand.Instance{}, versions: map[string]uint64{},
+		instances: map[string][]wasabistand.Instance{}, versions: map[string]uint64{}, unverified: map[string]bool{}, resend: map[string]bool{},
 	}
 }
 
@@ -84,7 +90,49 @@
 
 // resetVersions clears the versions of the instance lists, which are valid only
 // for one control instance. The lists stay until full ones replace them.
-func (s *state) resetVersions() { clear(s.versions) }
+func (s *state) resetVersions() {
+	clear(s.versions)
+	clear(s.unverified)
+	clear(s.resend)
+	for service, list := range s.members {
+		s.unverified[service] = len(list) > 0
+	}
+}
+
+// verify compares the digest of a service's list, and reports whether the list is
+// the current one.
+func (s *state) verify(d *wasabistandv1.MembershipDelta) bool {
+	service := d.GetService()
+	if wasabimember.Digest(s.members[service]) != d.GetDigest() {
+		s.requestResend(service)
+		return false
+	}
+	s.versions[service] = d.GetVersion()
+	return true
+}
+
+// requestResend records that a service's whole list is needed.
+func (s *state) requestResend(service string) {
+	delete(s.versions, service)
+	s.resend[service] = true
+}
+
+// interest returns the message that subscribes to services, with the resends that
+// are needed.
+func (s *state) interest(services []string) *wasabistandv1.Interest {
+	m := &wasabistandv1.Interest{Services: make(map[string]uint64, len(services))}
+	for _, name := range services {
+		m.Services[name] = s.versions[name]
+		switch {
+		case s.resend[name]:
+			m.Resend = append(m.Resend, name)
+		case s.versions[name] == 0 && s.unverified[name]:
+			m.Held = append(m.Held, name)
+		}
+	}
+	clear(s.resend)
+	return m
+}
 
 // applyDelta applies a delta and reports whether its base version matched the
 // current list. Invalid entries are ignored.
@@ -94,8 +142,11 @@
 		s.mergePartial(d)
 		return true
 	}
+	if d.GetDigest() != 0 {
+		return s.verify(d)
+	}
 	if d.GetBaseVersion() != 0 && d.GetBaseVersion() != s.versions[service] {
-		delete(s.versions, service)
+		s.requestResend(service)
 		return false
 	}
 	if d.GetBaseVersion() == 0 || s.members[service] == nil {
