wasabisession: read the last frames when sending fails

Change: a session that lost its link waits for the end of its reader, at most 200 ms, and looks for a refusal among the last frames.

--- a/wasabisession/session_stream.go
+++ b/wasabisession/session_stream.go
@@ -22,12 +22,40 @@
 	resync      bool
 }
 
+// reasonLinkLost is the reason of sessions whose link ended without another one.
+const reasonLinkLost = "link-lost"
+
+// lastFramesTimeout bounds the wait for frames that arrived before the link ended.
+const lastFramesTimeout = 200 * time.Millisecond
+
+// run serves the session until it ends, and returns the reason and the least time
+// to wait before trying the same control instance again.
 func (c *sessionStream) run(frames <-chan *wasabistandv1.ControlFrame, ended <-chan struct{}) (string, time.Duration) {
+	reason, after := c.serve(frames, ended)
+	if reason != reasonLinkLost {
+		return reason, after
+	}
+	// The last frame may contain the reason.
+	_ = c.stream.SetDeadline(time.Now().Add(lastFramesTimeout))
+	<-ended
+	for {
+		select {
+		case f := <-frames:
+			if f.GetRefusal() != nil {
+				return c.handle(f)
+			}
+		default:
+			return reason, after
+		}
+	}
+}
+
+func (c *sessionStream) serve(frames <-chan *wasabistandv1.ControlFrame, ended <-chan struct{}) (string, time.Duration) {
 	s := c.session
 	s.state.resetVersions()
 	start := &wasabistandv1.SessionStart{Revision: s.state.revision}
 	if !c.send(&wasabistandv1.NodeFrame{Kind: &wasabistandv1.NodeFrame_Start{Start: start}}) || !c.announce() || !c.sendSubscriptions() {
-		return "link-lost", 0
+		return reasonLinkLost, 0
 	}
 	c.lastAck = time.Now()
 	responseTimer := time.NewTimer(s.options.responseTimeout)
@@ -39,12 +67,10 @@
 		case <-s.ctx.Done():
 			return "closed", 0
 		case <-ended:
-			// Process the frames that arrived before the end, as the last one
-			// may contain the reason.
 			if r, after := c.handleAll(frames); r != "" {
 				return r, after
 			}
-			return "link-lost", 0
+			return reasonLinkLost, 0
 		case <-responseTimer.C:
 			if !c.established {
 				return "no-answer", 0
@@ -58,22 +84,22 @@
 			}
 			s.publish()
 			if c.resync && !c.sendSubscriptions() {
-				return "link-lost", 0
+				return reasonLinkLost, 0
 			}
 		case <-s.announceChanged:
 			if !c.announce() {
-				return "link-lost", 0
+				return reasonLinkLost, 0
 			}
 		case <-s.subscriptionsChanged:
 			if !c.sendSubscriptions() {
-				return "link-lost", 0
+				return reasonLinkLost, 0
 			}
 		case now := <-renew.C:
 			if now.Sub(c.lastAck) > s.options.lease {
 				return "no-acknowledgement", 0
 			}
 			if !c.renew() {
-				return "link-lost", 0
+				return reasonLinkLost, 0
 			}
 		}
 	}
@@ -122,7 +148,7 @@
 			// Status does not lag behind by a renewal interval.
 			s.publish()
 			if !c.renew() {
-				return "link-lost", 0
+				return reasonLinkLost, 0
 			}
 		}
 	case *wasabistandv1.ControlFrame_Membership:
--- a/wasabisession/session_test.go
+++ b/wasabisession/session_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"net"
+	"runtime"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,6 +27,30 @@
 	sessions chan *fakeStream
 	// requests passes the claim requests of all streams to the test.
 	requests chan claimRequest
+	// written counts the bytes written on all connections.
+	written atomic.Int64
+}
+
+// countingListener counts the bytes that are written on its connections.
+type countingListener struct {
+	net.Listener
+	written *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return countingConn{c, l.written}, err
+}
+
+type countingConn struct {
+	net.Conn
+	written *atomic.Int64
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written.Add(int64(n))
+	return n, err
 }
 
 type claimRequest struct {
@@ -42,7 +68,7 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	c := &fakeControl{t: t, address: ln.Addr().String(), sessions: make(chan *fakeStream, 16), requests: make(chan claimRequest, 64)}
-	c.listener = wasabilink.Serve(ln, wasabilink.NewOptions("test", "control", 1), func(ctx context.Context, kind wasabistandv1.StreamOpen_Kind, s *wasabilink.Stream) {
+	c.listener = wasabilink.Serve(countingListener{ln, &c.written}, wasabilink.NewOptions("test", "control", 1), func(ctx context.Context, kind wasabistandv1.StreamOpen_Kind, s *wasabilink.Stream) {
 		k := &fakeStream{Stream: s, release: make(chan struct{})}
 		if kind == wasabistandv1.StreamOpen_KIND_SESSION {
 			c.sessions <- k
@@ -158,6 +184,42 @@
 	assert.Equal(t, events.await(wasabistand.EventSessionDown).Reason, wasabistand.Reason("stopping"))
 }
 
+// Guards against a node that doesn't learn why its session ended, because it was
+// sending when the link ended.
+func TestReasonIsKeptWhileSending(t *testing.T) {
+	for range 100 {
+		c := newControl(t)
+		s, events := newSession(t, wasabisession.NewOptions(c.address))
+		k, _ := c.nextSession()
+		k.sendConfiguration(t, &wasabistandv1.ConfigurationUpdate{Revision: 1})
+		events.await(wasabistand.EventSessionUp)
+		stop, stopped := make(chan struct{}), make(chan struct{})
+		go func() {
+			defer close(stopped)
+			for slots := 2; ; slots++ {
+				select {
+				case <-stop:
+					return
+				default:
+					s.Announce(wasabistand.Instance{
+						ID: "reports-1", Incarnation: 7, Service: "reports", LinkAddress: "127.0.0.1:1", Slots: slots, Connections: 1,
+						State: wasabistand.Ready, Location: wasabistand.Location{Region: "here", FailureDomain: "a"},
+					})
+				}
+			}
+		}()
+		before := c.written.Load()
+		k.sendRefusal(t, "stopping")
+		for c.written.Load() < before+int64(len("stopping")) {
+			runtime.Gosched()
+		}
+		go func() { _ = k.Link().Close() }()
+		assert.Equal(t, events.await(wasabistand.EventSessionDown).Reason, wasabistand.Reason("stopping"))
+		close(stop)
+		<-stopped
+	}
+}
+
 // Guards against an instance list that lacks instances because a delta was lost,
 // and against one that mixes the versions of two control instances.
 func TestDeltaWithWrongBaseRequestsFullList(t *testing.T) {
