wasabiraft: hand leadership only to voters that respond

Change: only voters that responded within an election timeout are considered; a leader that no voter responds to stops without a transfer. The new test fails before.

--- a/wasabiraft/admin.go
+++ b/wasabiraft/admin.go
@@ -118,8 +118,8 @@
 }
 
 // Transfer transfers leadership to another voter and returns once this member is
-// no longer the leader. It does nothing on a member that is not the leader or is
-// the only voter.
+// no longer the leader. It does nothing on a member that is not the leader, or if no
+// other voter responds.
 func (r *Runner) Transfer(ctx context.Context) error {
 	poll := time.NewTicker(r.config.Settings.HeartbeatInterval / 4)
 	defer poll.Stop()
@@ -130,7 +130,7 @@
 			leads = r.replica.Role() == Leader
 			if leads && time.Since(requestedAt) > r.config.Settings.ElectionTimeout {
 				requestedAt = now()
-				// Without another voter there is no transfer to wait for.
+				// Without another voter that responds there is no transfer to wait for.
 				leads = r.replica.Transfer(requestedAt, "") == nil
 			}
 		})
--- a/wasabiraft/admin_test.go
+++ b/wasabiraft/admin_test.go
@@ -178,6 +178,37 @@
 	assert.Assert(t, g.leader(ctx) != l)
 }
 
+// TestTransferSkipsStoppedMembers guards against a leader that waits for a member
+// that has stopped to take over, so that its own planned stop does not end.
+func TestTransferSkipsStoppedMembers(t *testing.T) {
+	g := newGroup(t, 3, fastSettings())
+	ctx := testContext(t)
+	g.waitForStatus(ctx, "recorded", func(s wasabiraft.Status) bool { return voters(s) == 3 && s.Applied == s.Commit })
+	l := g.leader(ctx)
+	id := l.runner.Status().ID
+	var others []string
+	for _, other := range g.ids() {
+		if other != id {
+			others = append(others, other)
+		}
+	}
+	// The one that stops comes first, and no log is longer than the other.
+	g.stop(others[0])
+	g.waitForStatus(ctx, "silent", func(s wasabiraft.Status) bool {
+		for _, m := range s.Members {
+			if m.ID == others[0] {
+				return time.Since(m.LastContact) > 2*fastSettings().ElectionTimeout
+			}
+		}
+		return false
+	})
+	assert.NilError(t, l.runner.Transfer(ctx))
+	assert.Equal(t, g.leader(ctx).runner.Status().ID, others[1])
+	// The last member has nobody to hand over to.
+	g.stop(id)
+	assert.NilError(t, g.node(others[1]).runner.Transfer(ctx))
+}
+
 // newMemoryGroup starts a group of three members on in-memory disks with fault
 // injection.
 func newMemoryGroup(t testing.TB) (*group, map[string]*wasabifault.Memory) {
--- a/wasabiraft/members.go
+++ b/wasabiraft/members.go
@@ -152,7 +152,7 @@
 // stepDownRemoved transfers leadership and steps down once the entry that
 // removes this leader is committed.
 func (r *Replica) stepDownRemoved(now time.Time) {
-	best := r.transferTarget("")
+	best := r.transferTarget(now, "")
 	r.replicate()
 	if best != "" {
 		r.sendBeforeSync(r.make(wasabistandv1.GroupMessage_KIND_TIMEOUT_NOW, best))
@@ -160,14 +160,15 @@
 	r.becomeFollower(now, r.Term(), "")
 }
 
-// Transfer transfers leadership to the named voter, or to the voter with the
-// longest log if the name is empty. No commands are accepted until the transfer
+// Transfer transfers leadership to the named voter or, if the name is empty, to the
+// voter with the longest log among those that responded within an election timeout.
+// No commands are accepted until the transfer
 // completes or an election timeout passes.
 func (r *Replica) Transfer(now time.Time, to string) error {
 	if r.role != Leader {
 		return wasabistand.ErrNotLeader.New("%s is %s", r.self.ID, r.role)
 	}
-	to = r.transferTarget(to)
+	to = r.transferTarget(now, to)
 	if to == "" {
 		return Error.New("no other voter can become leader")
 	}
@@ -178,14 +179,18 @@
 	return nil
 }
 
-// transferTarget returns the other voter with the longest log, or "" if there is
-// none. It considers only the named voter unless the name is empty.
-func (r *Replica) transferTarget(only string) string {
+// transferTarget returns the other voter with the longest log that responded within
+// an election timeout, or "" if there is none. It considers only the named voter
+// unless the name is empty.
+func (r *Replica) transferTarget(now time.Time, only string) string {
 	best := ""
 	for _, m := range r.currentMembers().GetMembers() {
 		if !m.GetVoter() || m.GetId() == r.self.ID || only != "" && m.GetId() != only {
 			continue
 		}
+		if only == "" && !r.progress[m.GetId()].respondedSince(now.Add(-r.settings.ElectionTimeout)) {
+			continue
+		}
 		if best == "" || r.progress[m.GetId()].match > r.progress[best].match {
 			best = m.GetId()
 		}
