wasabicontrol: count and log the bytes sent by kind

Change: counters by kind of message (wasabi_control_sent_bytes_total and _messages_total), and a log line with the totals every 10 s.

--- a/wasabicontrol/claims.go
+++ b/wasabicontrol/claims.go
@@ -139,7 +139,7 @@
 // serveClaims handles the claim requests of one node. Requests and responses
 // are matched by ID, so that a slow batch does not block other requests.
 func (i *Instance) serveClaims(s *wasabilink.Stream) {
-	out := newOutbox(s, i.settings.maxQueuedBytes)
+	out := newOutbox(s, &i.metrics.sent, i.settings.maxQueuedBytes)
 	defer out.finish(nil, 0)
 	for {
 		r := new(wasabistandv1.ClaimRequest)
--- a/wasabicontrol/group.go
+++ b/wasabicontrol/group.go
@@ -30,7 +30,7 @@
 // fields of its command.
 const maxCommandBytes = 1<<20 + 64<<10
 
-func openGroup(s Settings, g Group, folder *wasabidisk.Folder, raft wasabiraft.Settings, p *wasabilink.Pool, r wasabistand.Recorder, onChange func()) (*group, error) {
+func openGroup(s Settings, g Group, folder *wasabidisk.Folder, raft wasabiraft.Settings, p *wasabilink.Pool, sent *sentBytes, r wasabistand.Recorder, onChange func()) (*group, error) {
 	store, err := folder.Group(g.Name, wasabidisk.Options{})
 	if err != nil {
 		return nil, err
@@ -42,7 +42,7 @@
 	if s.revisions > 0 {
 		options = options.WithRevisions(s.revisions, s.revisionBytes)
 	}
-	out := &group{settings: g, machine: newStateMachine(options, onChange), transport: newTransport(s.cluster, g.Name, p)}
+	out := &group{settings: g, machine: newStateMachine(options, onChange), transport: newTransport(s.cluster, g.Name, p, sent)}
 	var list []*wasabistandv1.Member
 	for _, m := range g.Members {
 		list = append(list, &wasabistandv1.Member{Id: m.ID, Address: m.Address})
@@ -111,6 +111,7 @@
 	cluster string
 	group   string
 	pool    *wasabilink.Pool
+	sent    *sentBytes
 	mu      sync.Mutex
 	senders map[string]*sender
 	closed  bool
@@ -135,8 +136,8 @@
 	groupDialTimeout  = time.Second
 )
 
-func newTransport(cluster, group string, p *wasabilink.Pool) *transport {
-	t := &transport{cluster: cluster, group: group, pool: p, senders: map[string]*sender{}}
+func newTransport(cluster, group string, p *wasabilink.Pool, sent *sentBytes) *transport {
+	t := &transport{cluster: cluster, group: group, pool: p, sent: sent, senders: map[string]*sender{}}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	return t
 }
@@ -195,10 +196,15 @@
 		if stream == nil {
 			stream = t.openStream(s.address)
 		}
-		if stream != nil && stream.Send(f) != nil {
+		if stream == nil {
+			continue
+		}
+		if stream.Send(f) != nil {
 			_ = stream.Close()
 			stream = nil
+			continue
 		}
+		t.sent.add(sentLog, size)
 	}
 }
 
--- a/wasabicontrol/hub.go
+++ b/wasabicontrol/hub.go
@@ -20,6 +20,8 @@
 	// lostRetention and maxLostInstances limit the record of lost instances.
 	lostRetention    = time.Hour
 	maxLostInstances = 4096
+	// sentLogInterval is how often the bytes sent are logged.
+	sentLogInterval = 10 * time.Second
 )
 
 // pushedList is the version of a list that all subscribers were sent.
@@ -56,6 +58,7 @@
 	// lastListed and lastLostCheck are used to update lostAt: the instances
 	// reported to operators as unreachable, with the time of their loss.
 	lastLostCheck time.Time
+	lastSentLog   time.Time
 	lastListed    map[string]wasabistand.InstanceState
 	lostAt        map[string]time.Time
 }
@@ -147,6 +150,10 @@
 		h.lastLostCheck = now
 		h.updateLost(now)
 	}
+	if now.Sub(h.lastSentLog) >= sentLogInterval {
+		h.lastSentLog = now
+		h.instance.metrics.sent.log(&h.instance.log, len(h.sessions))
+	}
 }
 
 // updateLost records instances that disappeared from the list without
--- a/wasabicontrol/metrics.go
+++ b/wasabicontrol/metrics.go
@@ -12,6 +12,7 @@
 	registry      *prometheus.Registry
 	sessionsEnded *prometheus.CounterVec
 	claimsRefused prometheus.Counter
+	sent          sentBytes
 }
 
 func newMetrics(i *Instance) *metrics {
@@ -47,7 +48,7 @@
 
 // Describe implements prometheus.Collector.
 func (c *collector) Describe(d chan<- *prometheus.Desc) {
-	for _, k := range []*prometheus.Desc{descSessions, descInstances, descSuspect, descRevision, descLeader, descTerm, descCommit, descFull, descClaims, descRequests, descBatches} {
+	for _, k := range []*prometheus.Desc{descSessions, descInstances, descSuspect, descRevision, descLeader, descTerm, descCommit, descFull, descClaims, descRequests, descBatches, descSentBytes, descSentMessages} {
 		d <- k
 	}
 }
@@ -67,6 +68,7 @@
 		gauge(descInstances, float64(listed))
 		gauge(descSuspect, float64(suspect))
 	}
+	i.metrics.sent.collect(out)
 	for name, g := range i.groups {
 		s := g.runner.Status()
 		gauge(descRevision, float64(g.machine.current.Load().revision), name)
--- a/wasabicontrol/outbox.go
+++ b/wasabicontrol/outbox.go
@@ -15,6 +15,7 @@
 // own outbox.
 type outbox struct {
 	stream   *wasabilink.Stream
+	sent     *sentBytes
 	maxBytes int
 
 	mu         sync.Mutex
@@ -33,8 +34,8 @@
 	size  int
 }
 
-func newOutbox(s *wasabilink.Stream, maxBytes int) *outbox {
-	o := &outbox{stream: s, maxBytes: maxBytes, wake: make(chan struct{}, 1), finishing: make(chan struct{})}
+func newOutbox(s *wasabilink.Stream, sent *sentBytes, maxBytes int) *outbox {
+	o := &outbox{stream: s, sent: sent, maxBytes: maxBytes, wake: make(chan struct{}, 1), finishing: make(chan struct{})}
 	o.wait.Go(o.run)
 	return o
 }
@@ -93,6 +94,7 @@
 	o.sendStart.Store(time.Now().UnixNano())
 	err := o.stream.Send(q.frame)
 	o.sendStart.Store(0)
+	o.sent.add(kindOf(q.frame), q.size)
 	o.mu.Lock()
 	o.bytes -= q.size
 	o.closed = o.closed || err != nil
--- a/wasabicontrol/session.go
+++ b/wasabicontrol/session.go
@@ -54,7 +54,7 @@
 
 // serveSession serves the session of one node until the stream ends.
 func (i *Instance) serveSession(ctx context.Context, stream *wasabilink.Stream) {
-	out := newOutbox(stream, i.settings.maxQueuedBytes)
+	out := newOutbox(stream, &i.metrics.sent, i.settings.maxQueuedBytes)
 	s := &session{out: out, subscriptions: map[string]wasabimember.Feed{}}
 	if reason := i.startSession(ctx, s, stream); reason != "" {
 		i.metrics.sessionsEnded.WithLabelValues(reason).Inc()
--- a/wasabicontrol/sync.go
+++ b/wasabicontrol/sync.go
@@ -200,7 +200,7 @@
 	if err != nil {
 		return
 	}
-	out := newOutbox(stream, p.hub.instance.settings.maxQueuedBytes)
+	out := newOutbox(stream, &p.hub.instance.metrics.sent, p.hub.instance.settings.maxQueuedBytes)
 	defer out.finish(nil, 0)
 	if !p.hub.do(func() {
 		m := p.hub.registry.BuildSync(time.Now(), true)
