wasabimember: do not send suspicions to nodes

Cause: after the loss of a control instance all its instances become suspect and, once they have announced themselves elsewhere, are not any more. Both changes were sent to each node, and made the digest of a node that moved differ. Change: the list for nodes leaves out the mark, which they do not use; operators still see it. Figures (arm64): in the new test, the loss of a control instance with 100 instances sends a node nothing (before: two changes of each).

--- a/wasabimember/feed.go
+++ b/wasabimember/feed.go
@@ -79,9 +79,6 @@
 		b = binary.AppendUvarint(b, uint64(i.Slots))
 		b = binary.AppendUvarint(b, uint64(i.Connections))
 		b = append(b, byte(i.State))
-		if i.Suspect {
-			b = append(b, 1)
-		}
 		// The length keeps adjacent entries apart.
 		b = binary.AppendUvarint(b, uint64(len(b)))
 		_, _ = h.Write(b)
--- a/wasabimember/feed_test.go
+++ b/wasabimember/feed_test.go
@@ -105,6 +105,49 @@
 	assert.Assert(t, s.bytes < 64, "%d bytes", s.bytes)
 }
 
+// TestLossOfControlInstanceSendsNothing plays a control instance that falls silent:
+// its instances announce themselves at another one, with what they announced before.
+// It guards against two changes of each instance, sent to each node.
+func TestLossOfControlInstanceSendsNothing(t *testing.T) {
+	const count = 100
+	lost, r := wasabimember.New(wasabimember.NewOptions("control-1", 1)), wasabimember.New(wasabimember.NewOptions("control-2", 1))
+	announce(t, lost, start, count)
+	assert.NilError(t, r.Merge(start, lost.BuildSync(start, true)))
+	s := &subscriber{list: map[string]wasabistand.Instance{}}
+	s.receive(t, r, true)
+	s.bytes = 0
+	for tenth := range 100 {
+		now := start.Add(time.Duration(tenth) * 100 * time.Millisecond)
+		r.Tick(now)
+		if tenth == 45 {
+			assert.Equal(t, r.Stats().Suspect, count)
+		}
+		if tenth >= 50 {
+			i := instance(tenth - 50)
+			i.Sequence = 2
+			assert.NilError(t, r.Announce(now, i))
+			for n := range tenth - 50 {
+				assert.NilError(t, r.Renew(now, instance(n).ID, 10, 2, 0))
+			}
+		}
+		s.receive(t, r, true)
+	}
+	s.assertInstances(t, count)
+	assert.Assert(t, r.Stats().Suspect < count)
+	assert.Equal(t, s.bytes, 0)
+}
+
+// assertInstances checks that the node has the first instances as announced.
+func (s *subscriber) assertInstances(t *testing.T, count int) {
+	t.Helper()
+	assert.Equal(t, len(s.list), count)
+	for n := range count {
+		i := instance(n)
+		i.Sequence = 0
+		assert.Equal(t, s.list[i.ID], i)
+	}
+}
+
 // TestMoveRepairsOldList guards against a node that keeps instances that left while
 // it moved, or misses new ones.
 func TestMoveRepairsOldList(t *testing.T) {
--- a/wasabimember/service.go
+++ b/wasabimember/service.go
@@ -29,7 +29,10 @@
 	// published is the instance as sent in deltas, without the fields that
 	// renewals change.
 	published wasabistand.Instance
-	entry     *entry
+	// suspect is not sent to nodes, which don't use it: after the loss of a control
+	// instance it changes for all instances of that one, and back.
+	suspect bool
+	entry   *entry
 }
 
 type change struct {
@@ -64,16 +67,16 @@
 	}
 	published := e.instance
 	published.Sequence, published.AppliedRevision = 0, 0
-	published.Suspect = state == leaseSuspect
+	isSuspect := state == leaseSuspect
 	r.listedService[id] = e.instance.Service
 	if m := s.members[id]; m != nil {
-		m.entry = e
+		m.entry, m.suspect = e, isSuspect
 		if m.published == published {
 			return
 		}
 		m.published = published
 	} else {
-		s.members[id] = &member{published: published, entry: e}
+		s.members[id] = &member{published: published, suspect: isSuspect, entry: e}
 	}
 	r.recordChange(s, id)
 }
@@ -109,8 +112,8 @@
 // this registry, or the full list, with base version 0, if they are no longer
 // in the change log. It returns nil if nothing changed. A node with a version
 // of another control instance gets the full list. Sequences and applied
-// revisions are omitted, so that renewals cause no deltas; drains are sent with
-// the configuration.
+// revisions are omitted, so that renewals cause no deltas; so are suspicions, which nodes don't use. Drains are sent
+// with the configuration.
 func (r *Registry) Delta(service string, from uint64) *wasabistandv1.MembershipDelta {
 	d := &wasabistandv1.MembershipDelta{Service: service, Version: r.Version(service)}
 	if from == d.Version {
@@ -151,7 +154,7 @@
 		}
 		for _, m := range s.members {
 			i := m.entry.instance
-			i.Suspect = m.published.Suspect
+			i.Suspect = m.suspect
 			list = append(list, i)
 		}
 	}
@@ -193,7 +196,7 @@
 	s := Stats{Listed: len(r.listedService), Local: len(r.local.entries), Sources: len(r.remote), Services: len(r.services)}
 	for _, v := range r.services {
 		for _, m := range v.members {
-			if m.published.Suspect {
+			if m.suspect {
 				s.Suspect++
 			}
 		}
