Count calls refused at their entry node in the demonstration

Change: one constant for both; a test with a node and the monitor. Figures (arm64): the test fails before.

--- a/event.go
+++ b/event.go
@@ -53,6 +53,13 @@
 	EventShutdown        EventKind = "shutdown"
 )
 
+// EventFieldAt is the first field of an event of a call at its entry node; its value
+// is EventAtEntry. Events of the upstream's node don't have it.
+const (
+	EventFieldAt = "At"
+	EventAtEntry = "entry"
+)
+
 // Event is one entry in the event timeline.
 type Event struct {
 	// Time is set by the recorder when zero.
--- a/wasabilocal/monitor.go
+++ b/wasabilocal/monitor.go
@@ -42,7 +42,7 @@
 	case wasabistand.EventCallRetried:
 		m.retries[e.RequestID]++
 	case wasabistand.EventCallRefused, wasabistand.EventCallUnknown:
-		if len(e.Fields) > 0 && e.Fields[0].Name == "at" {
+		if len(e.Fields) > 0 && e.Fields[0].Name == wasabistand.EventFieldAt {
 			m.reasons[e.Reason]++
 		}
 	}
--- a/wasabinode/events.go
+++ b/wasabinode/events.go
@@ -28,7 +28,7 @@
 func (n *Node) recordIngress(kind wasabistand.EventKind, c *ingressCall, reason wasabistand.Reason) {
 	n.parts.Recorder.Record(wasabistand.Event{
 		Kind: kind, RequestID: c.fields.Request, Service: c.kind.Service, Call: c.kind.Call, Caller: c.caller.Name, Reason: reason,
-		Fields: []wasabistand.HeaderField{{Name: "At", Value: "entry"}},
+		Fields: []wasabistand.HeaderField{{Name: wasabistand.EventFieldAt, Value: wasabistand.EventAtEntry}},
 	})
 }
 
--- a/wasabinode/outcome_test.go
+++ b/wasabinode/outcome_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/wasabistand/wasabistand"
+	"github.com/wasabistand/wasabistand/wasabilocal"
 	"github.com/wasabistand/wasabistand/wasabinode"
 )
 
@@ -303,6 +304,20 @@
 	wait.Wait()
 }
 
+// Guards against calls that were refused at their entry node and are counted as
+// refused by an upstream's node.
+func TestEntryRefusalsAreRecognized(t *testing.T) {
+	monitor := wasabilocal.NewMonitor()
+	m := newMesh(t)
+	m.dial = func(context.Context, string) (net.Conn, error) { return nil, errors.New("no route") }
+	m.parts = func(_ string, p wasabinode.Parts) wasabinode.Parts { p.Recorder = monitor; return p }
+	m.add("b1", "b", emptyHandler)
+	a := m.add("a1", "a", emptyHandler)
+	m.awaitReady()
+	m.expectRefusal(request(t, a, "POST", "b", "/approve", "Idempotency-Key", "k"), 503, "not-run", "connect")
+	assert.DeepEqual(t, monitor.Reasons(), map[wasabistand.Reason]int{wasabistand.ReasonConnect: 1})
+}
+
 // Guards against a retry that gets an empty response in place of one that was too
 // large to store, and against a claim that is settled as answered by a truncated
 // response.
