wasabinode: recognize a repeated response to an earlier call

Cause: on a kept-alive connection, a response that the upstream repeated from an earlier call was given to the next caller as the answer to its own call, for example a refusal for a call that ran. Change: a connection remembers the IDs and tokens of its latest 16 calls. A response that names one of them and not the current call makes the outcome unknown and closes the connection. Upstreams that name no call, or calls that they made themselves, are not affected. An upstream that names no call can still repeat a response unnoticed; the interface has no field that it must return.

--- a/wasabinode/outcome_test.go
+++ b/wasabinode/outcome_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -304,6 +305,35 @@
 	wait.Wait()
 }
 
+// Guards against an upstream that repeats an earlier refusal, or sends the response to
+// an earlier call, where the response to another call is due: that call may have run.
+func TestResponseToEarlierCallIsUnknown(t *testing.T) {
+	for header, name := range map[string]string{"Wasabi-Shed": "Wasabi-Call", "Wasabi-Request": "Wasabi-Request"} {
+		t.Run(header, func(t *testing.T) {
+			m := newMesh(t)
+			var runs atomic.Int64
+			first := ""
+			a := m.add("a1", "a", func(w http.ResponseWriter, r *http.Request) {
+				if runs.Add(1) == 1 {
+					first = r.Header.Get(name)
+					return
+				}
+				c, b, err := http.NewResponseController(w).Hijack()
+				assert.Check(t, err)
+				defer c.Close()
+				_, err = fmt.Fprintf(b, "HTTP/1.1 503 X\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", header, first)
+				assert.Check(t, err)
+				assert.Check(t, b.Flush())
+			})
+			m.awaitReady()
+			assert.Equal(t, m.do(request(t, a, "POST", "a", "/approve", "Idempotency-Key", "k1")).status, 200)
+			w := m.do(request(t, a, "POST", "a", "/approve", "Idempotency-Key", "k2"))
+			assert.Equal(t, w.header.Get("Wasabi-Outcome"), "unknown", "%d %s", w.status, w.header)
+			assert.Equal(t, runs.Load(), int64(2))
+		})
+	}
+}
+
 // Guards against calls that were refused at their entry node and are counted as
 // refused by an upstream's node.
 func TestEntryRefusalsAreRecognized(t *testing.T) {
--- a/wasabinode/upstream.go
+++ b/wasabinode/upstream.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -54,6 +55,27 @@
 	mu     sync.Mutex
 	writes int
 	sealed bool
+	// names holds the IDs and tokens of the latest calls on the connection.
+	names []string
+}
+
+// maxCallNames bounds the names that are kept for a connection.
+const maxCallNames = 32
+
+// isForEarlierCall reports whether a response names an earlier call on the
+// connection, as when an upstream repeats a response, and records the names of this
+// call. Upstreams need not name the call in their responses, and may pass on the
+// names of calls that they made.
+func (c *countedConn) isForEarlierCall(h http.Header, id, token string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	earlier := func(name, current string) bool { return name != "" && name != current && slices.Contains(c.names, name) }
+	found := earlier(h.Get(wasabiheader.Request), id) || earlier(h.Get(wasabiheader.Shed), token)
+	c.names = append(c.names, id, token)
+	if n := len(c.names); n > maxCallNames {
+		c.names = slices.Delete(c.names, 0, n-maxCallNames)
+	}
+	return found
 }
 
 // Write implements net.Conn.
@@ -200,6 +222,11 @@
 	if response.StatusCode < 200 {
 		return u.failedResult(ctx, Error.New("the upstream answered with status %d", response.StatusCode), nil)
 	}
+	if conn != nil && conn.isForEarlierCall(response.Header, a.requestID, call.Token()) {
+		// Whatever follows on the connection can't be assigned to a call either.
+		_ = conn.Close()
+		return u.failedResult(ctx, Error.New("the upstream repeated its response to an earlier call"), nil)
+	}
 	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(wasabiheader.Shed) == call.Token() {
 		retryAfter, _ := strconv.Atoi(response.Header.Get(wasabiheader.RetryAfter))
 		_, _ = io.CopyN(io.Discard, response.Body, 4096)
