--- a/wasabicontrol/hub.go
+++ b/wasabicontrol/hub.go
@@ -152,10 +152,20 @@
 	}
 	if now.Sub(h.lastSentLog) >= sentLogInterval {
 		h.lastSentLog = now
-		h.instance.metrics.sent.log(&h.instance.log, len(h.sessions))
+		h.instance.metrics.sent.log(&h.instance.log, len(h.sessions), h.remoteSessions())
 	}
 }
 
+// remoteSessions returns the number of sessions of nodes in other regions.
+func (h *hub) remoteSessions() (n int) {
+	for s := range h.sessions {
+		if s.region != h.instance.settings.location.Region {
+			n++
+		}
+	}
+	return n
+}
+
 // updateLost records instances that disappeared from the list without
 // deregistering, and removes them after lostRetention or when they return.
 func (h *hub) updateLost(now time.Time) {
@@ -226,7 +236,7 @@
 	default:
 		return "bad-announcement"
 	}
-	s.id, s.incarnation, s.sequence = i.ID, i.Incarnation, i.Sequence
+	s.id, s.incarnation, s.sequence, s.region = i.ID, i.Incarnation, i.Sequence, i.Location.Region
 	h.dirty = true
 	return ""
 }
--- a/wasabicontrol/session.go
+++ b/wasabicontrol/session.go
@@ -40,6 +40,7 @@
 	id               string
 	incarnation      uint64
 	sequence         uint64
+	region           string                       // of the node
 	subscriptions    map[string]wasabimember.Feed // by service
 	revision         uint64                       // last revision sent
 	documentRevision uint64
--- a/wasabicontrol/traffic.go
+++ b/wasabicontrol/traffic.go
@@ -59,9 +59,10 @@
 	b.messages[k].Add(1)
 }
 
-// log writes one line with the totals.
-func (b *sentBytes) log(l *zerolog.Logger, sessions int) {
-	e := l.Info().Int("Sessions", sessions)
+// log writes one line with the totals, the number of sessions, and how many of them
+// are of nodes in other regions.
+func (b *sentBytes) log(l *zerolog.Logger, sessions, remoteSessions int) {
+	e := l.Info().Int("Sessions", sessions).Int("RemoteSessions", remoteSessions)
 	for k, name := range sentKindNames {
 		e = e.Int64(name+"Bytes", b.bytes[k].Load()).Int64(name+"Messages", b.messages[k].Load())
 	}
