wasabilink: try a second connection beside one that hangs

Cause: after a loss of power of all, processes dial peers that are not back yet. Change: a dial that takes longer than 250 ms starts another attempt, after 500 ms and 1 s more again; the first result counts, the other connections are closed. The new test hangs before.

--- a/wasabilink/link.go
+++ b/wasabilink/link.go
@@ -99,7 +99,7 @@
 // Dial opens a link to an address. With a nil handler, streams that the peer
 // opens are closed.
 func Dial(ctx context.Context, address string, o Options, h Handler) (*Link, error) {
-	conn, err := o.dial(ctx, address)
+	conn, err := openConn(ctx, address, o.dial)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
--- a/wasabilink/link_test.go
+++ b/wasabilink/link_test.go
@@ -36,6 +36,49 @@
 func (n *network) Close() error   { defer func() { _ = recover() }(); close(n.accept); return nil }
 func (n *network) Addr() net.Addr { return &net.TCPAddr{} }
 
+// Guards against a dial that waits for the kernel to send a lost opening packet again:
+// the peer had no power when the dial began, and is back shortly after.
+func TestDialSurvivesLostOpening(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		ln := wasabilink.Serve(n, options("b"), echo)
+		var closed atomic.Int64
+		dial := func(ctx context.Context, address string) (net.Conn, error) {
+			switch n.dials.Load() {
+			case 0:
+				n.dials.Add(1)
+				<-ctx.Done()
+				return nil, ctx.Err()
+			case 1:
+				// Opens too late, beside the next attempt.
+				c, err := n.dial(ctx, address)
+				time.Sleep(700 * time.Millisecond)
+				return &countedClose{c, &closed}, err
+			}
+			return n.dial(ctx, address)
+		}
+		started := time.Now()
+		l, err := wasabilink.Dial(t.Context(), "x", options("a").WithDial(dial), nil)
+		assert.NilError(t, err)
+		assert.Assert(t, time.Since(started) <= 800*time.Millisecond, "took %v", time.Since(started))
+		time.Sleep(time.Second)
+		assert.Equal(t, closed.Load(), int64(1))
+		assert.NilError(t, l.Close())
+		assert.NilError(t, ln.Close())
+	})
+}
+
+// countedClose counts the closes of a connection.
+type countedClose struct {
+	net.Conn
+	closed *atomic.Int64
+}
+
+func (c *countedClose) Close() error {
+	c.closed.Add(1)
+	return c.Conn.Close()
+}
+
 func (n *network) dial(context.Context, string) (net.Conn, error) {
 	n.dials.Add(1)
 	a, b := net.Pipe()
