Send nodes documents compressed and without their annotation

Cause: each change of the configuration was sent to each node whole, with the operators' compressed text that only control needs: 3.9 kB for 7 routes. Change: nodes get the document compressed by gzip and without an annotation on its first line; control compresses it once a revision. TestSlowSessionIsDropped sends documents that do not compress, so that it loads the connection as before.

--- a/wasabicontrol/control_test.go
+++ b/wasabicontrol/control_test.go
@@ -1,8 +1,10 @@
 package wasabicontrol_test
 
 import (
+	"encoding/hex"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"testing"
@@ -208,6 +210,13 @@
 	}
 }
 
+// incompressible returns n hexadecimal digits, which take half of n bytes compressed.
+func incompressible(n int) string {
+	b := make([]byte, n/2)
+	_, _ = rand.NewChaCha8([32]byte{}).Read(b)
+	return hex.EncodeToString(b)
+}
+
 // Guards against a node that does not read and thereby blocks other nodes.
 func TestSlowSessionIsDropped(t *testing.T) {
 	c := newCluster(t, 1, 0, func(s wasabicontrol.Settings) wasabicontrol.Settings {
@@ -228,7 +237,7 @@
 
 	other := c.node("reports-1", "reports", 1, "control-1")
 	for k := range 12 {
-		r := &wasabistandv1.ApplyRequest{Command: identity(fmt.Sprintf("large-%d", k)), ExpectedRevision: revision, Toml: document("1s") + "# " + strings.Repeat("x", 100<<10)}
+		r := &wasabistandv1.ApplyRequest{Command: identity(fmt.Sprintf("large-%d", k)), ExpectedRevision: revision, Toml: document("1s") + "# " + incompressible(200<<10)}
 		a, err := c.apply("control-1", r)
 		assert.NilError(t, err)
 		revision = a.GetRevision()
--- a/wasabicontrol/hub.go
+++ b/wasabicontrol/hub.go
@@ -366,7 +366,7 @@
 		ClaimHomes: h.directory.claimAddresses, ControlAddresses: h.directory.addresses, ControlRegions: h.directory.controlsByRegion,
 	}
 	if withDocument {
-		u.Toml = c.toml
+		u.Document = c.compact
 	}
 	return &wasabistandv1.ControlFrame{Kind: &wasabistandv1.ControlFrame_Configuration{Configuration: u}}
 }
--- a/wasabicontrol/machine.go
+++ b/wasabicontrol/machine.go
@@ -6,6 +6,7 @@
 
 	"github.com/wasabistand/wasabistand"
 	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
+	"github.com/wasabistand/wasabistand/wasabiconfig"
 	"github.com/wasabistand/wasabistand/wasabistate"
 )
 
@@ -15,7 +16,9 @@
 	revision         uint64
 	documentRevision uint64
 	toml             string
-	drained          []string
+	// compact is the document as it is sent to nodes.
+	compact []byte
+	drained []string
 }
 
 // stateMachine is the state machine of a group. The log's runner applies
@@ -69,7 +72,17 @@
 // publish replaces the configuration that readers load.
 func (m *stateMachine) publish() {
 	d := m.state.Document()
-	m.current.Store(&configuration{revision: d.Revision, documentRevision: d.DocumentRevision, toml: d.TOML, drained: m.state.Drained()})
+	c := &configuration{revision: d.Revision, documentRevision: d.DocumentRevision, toml: d.TOML, drained: m.state.Drained()}
+	if old := m.current.Load(); old.documentRevision == c.documentRevision && old.toml == c.toml {
+		c.compact = old.compact
+	} else {
+		var err error
+		if c.compact, err = wasabiconfig.Compact(c.toml); err != nil {
+			// Compressing into memory cannot fail.
+			panic(err)
+		}
+	}
+	m.current.Store(c)
 	m.onChange()
 }
 
--- a/wasabisession/session_test.go
+++ b/wasabisession/session_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/wasabistand/wasabistand"
 	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
+	"github.com/wasabistand/wasabistand/wasabiconfig"
 	"github.com/wasabistand/wasabistand/wasabilink"
 	"github.com/wasabistand/wasabistand/wasabisession"
 )
@@ -153,6 +154,13 @@
 
 const document = "[[Callers]]\nName = \"office\"\nPatience = \"2s\"\n"
 
+func compact(t testing.TB, document string) []byte {
+	t.Helper()
+	b, err := wasabiconfig.Compact(document)
+	assert.NilError(t, err)
+	return b
+}
+
 // Guards against a running node that reverts to an older configuration, and
 // against one that loses its configuration because a new document does not parse.
 func TestConfigurationRevisionNeverDecreases(t *testing.T) {
@@ -160,19 +168,19 @@
 	s, events := newSession(t, wasabisession.NewOptions(c.address))
 	k, start := c.nextSession()
 	assert.Equal(t, start.GetRevision(), uint64(0))
-	k.sendConfiguration(t, &wasabistandv1.ConfigurationUpdate{Revision: 5, DocumentRevision: 5, Toml: document, Drained: []string{"reports-1"}})
+	k.sendConfiguration(t, &wasabistandv1.ConfigurationUpdate{Revision: 5, DocumentRevision: 5, Document: compact(t, document), Drained: []string{"reports-1"}})
 	v := awaitView(s, func(*wasabistand.View) bool { return true })
 	assert.Equal(t, v.Configuration.Callers["office"].MaxTimeout, 2*time.Second)
 	assert.Assert(t, v.Drained)
 
-	k.sendConfiguration(t, &wasabistandv1.ConfigurationUpdate{Revision: 4, DocumentRevision: 4, Toml: document})
+	k.sendConfiguration(t, &wasabistandv1.ConfigurationUpdate{Revision: 4, DocumentRevision: 4, Document: compact(t, document)})
 	assert.Equal(t, events.await(wasabistand.EventSessionDown).Reason, wasabistand.Reason("older-revision"))
 	close(k.release)
 	assert.Equal(t, s.View().Revision, uint64(5))
 
 	k, start = c.nextSession()
 	assert.Equal(t, start.GetRevision(), uint64(5))
-	k.sendConfiguration(t, &wasabistandv1.ConfigurationUpdate{Revision: 6, DocumentRevision: 6, Toml: "Callers = 1"})
+	k.sendConfiguration(t, &wasabistandv1.ConfigurationUpdate{Revision: 6, DocumentRevision: 6, Document: compact(t, "Callers = 1")})
 	for events.await(wasabistand.EventConfigRefused).Reason != "parse" {
 		continue
 	}
@@ -361,7 +369,7 @@
 	s, _ := newSession(t, wasabisession.NewOptions(append(addresses, c.address)...).WithResponseTimeout(time.Hour))
 	k, _ := c.nextSession()
 	defer close(k.release)
-	k.sendConfiguration(t, &wasabistandv1.ConfigurationUpdate{Revision: 1, DocumentRevision: 1, Toml: document})
+	k.sendConfiguration(t, &wasabistandv1.ConfigurationUpdate{Revision: 1, DocumentRevision: 1, Document: compact(t, document)})
 	awaitView(s, func(v *wasabistand.View) bool { return v.Revision == 1 })
 }
 
--- a/wasabisession/state.go
+++ b/wasabisession/state.go
@@ -48,9 +48,9 @@
 // applyConfiguration applies an update that is not older than the current one.
 // If its document does not parse, the previous configuration stays active.
 func (s *state) applyConfiguration(u *wasabistandv1.ConfigurationUpdate) (err error) {
-	if u.GetDocumentRevision() > s.documentRevision && u.GetToml() != "" {
+	if u.GetDocumentRevision() > s.documentRevision && len(u.GetDocument()) > 0 {
 		var c *wasabistand.Configuration
-		if c, err = wasabiconfig.Parse([]byte(u.GetToml())); err == nil {
+		if c, err = parseCompact(u.GetDocument()); err == nil {
 			s.configuration = c
 		}
 		s.documentRevision, s.documentInvalid = u.GetDocumentRevision(), err != nil
@@ -75,6 +75,14 @@
 	return err
 }
 
+func parseCompact(document []byte) (*wasabistand.Configuration, error) {
+	text, err := wasabiconfig.Expand(document)
+	if err != nil {
+		return nil, err
+	}
+	return wasabiconfig.Parse(text)
+}
+
 func addressLists(m map[string]*wasabistandv1.AddressList) map[string][]string {
 	out := make(map[string][]string, len(m))
 	for k, v := range m {
