wasabicontrol: log changes of leader and members

Cause: the log of control had no line on an election, so the time after a loss of power could not be followed in it. Change: events of a group go to the log as well as to the time line.

--- a/wasabicontrol/instance.go
+++ b/wasabicontrol/instance.go
@@ -132,7 +132,7 @@
 		if !g.includes(i.settings.id) {
 			continue
 		}
-		opened, err := openGroup(i.settings, g, i.folder, i.parts.Raft, i.pool, &i.metrics.sent, i.parts.Events, func() { signal(i.hub.configChanged) })
+		opened, err := openGroup(i.settings, g, i.folder, i.parts.Raft, i.pool, &i.metrics.sent, groupRecorder{i.parts.Events, i.log, g.Name}, func() { signal(i.hub.configChanged) })
 		if err != nil {
 			return err
 		}
