Leave a control instance without a quorum before its configuration is too old

Cause: a control instance that was cut off from the others kept its sessions for 1.8 s, and its nodes then tried it and the other instances of their region, which were cut off as well, again and again before those of other regions; each kept them waiting for its confirmation. Nodes answered by a configuration up to 4.5 s old. Change: sessions end 1.2 s after the last confirmation, which is tried every 0.4 s; an instance that has lost its quorum refuses sessions at once; a node tries instances that failed recently after all others, with at most 0.5 s of backoff. Both new tests fail before.

--- a/internal/process/wasabimesh/control.go
+++ b/internal/process/wasabimesh/control.go
@@ -24,9 +24,12 @@
 	// retransmission of lost packets causes no election.
 	electionTimeout   = time.Second
 	electionHeartbeat = 200 * time.Millisecond
-	confirmTimeout    = 900 * time.Millisecond
-	confirmInterval   = 700 * time.Millisecond
-	quorumLossTimeout = 1800 * time.Millisecond
+	// A control instance that is cut off keeps its sessions for quorumLossTimeout, and
+	// nodes need up to half a second to find another one. Both together must stay well
+	// below the time in which a configuration must be applied, 2.5 s.
+	confirmTimeout    = 600 * time.Millisecond
+	confirmInterval   = 400 * time.Millisecond
+	quorumLossTimeout = 1200 * time.Millisecond
 	// snapshotEntries and trailingEntries bound the size of the log on a small
 	// disk, since a document of many routes fills most of an entry.
 	snapshotEntries   = 64
--- a/internal/process/wasabimesh/node.go
+++ b/internal/process/wasabimesh/node.go
@@ -128,7 +128,7 @@
 func sessionOptions(controls []string) wasabisession.Options {
 	return wasabisession.NewOptions(controls...).
 		WithRenewal(time.Second, 2500*time.Millisecond).
-		WithBackoff(100*time.Millisecond, 200*time.Millisecond, time.Second).
+		WithBackoff(100*time.Millisecond, 200*time.Millisecond, 500*time.Millisecond).
 		WithResponseTimeout(1500 * time.Millisecond)
 }
 
--- a/wasabicontrol/confirmer.go
+++ b/wasabicontrol/confirmer.go
@@ -92,6 +92,13 @@
 	return now.Sub(time.Unix(0, c.lastConfirmed.Load()))
 }
 
+// hasLostQuorum reports whether the quorum confirmed the state before, but not within
+// the timeout. Before the first confirmation, as during the election after a start of
+// all, it returns false.
+func (c *confirmer) hasLostQuorum(now time.Time, timeout time.Duration) bool {
+	return c.lastConfirmed.Load() != 0 && c.sinceConfirmed(now) > timeout
+}
+
 func (c *confirmer) close() {
 	c.mu.Lock()
 	c.closed = true
--- a/wasabicontrol/control_test.go
+++ b/wasabicontrol/control_test.go
@@ -79,6 +79,25 @@
 	assert.Equal(t, v.Revision, latest)
 }
 
+// Guards against nodes that wait at a control instance that has lost its quorum, while
+// others have newer configurations.
+func TestInstanceWithoutQuorumRefusesAtOnce(t *testing.T) {
+	c := newCluster(t, 3, 0, func(s wasabicontrol.Settings) wasabicontrol.Settings {
+		// A confirmation that has no quorum takes longer than the test.
+		return s.WithConfirm(2*waitTimeout, 50*time.Millisecond, 500*time.Millisecond)
+	})
+	old := c.mustApply("control-1", 0, "old", "2s")
+	n := c.node("reports-1", "reports", 1, "control-1")
+	n.await(t, "old revision", atLeast(old))
+	c.sides["control-1"].Store(1)
+	assert.Equal(t, <-n.sessionEnds, wasabistand.Reason("not-confirmed"))
+	// It knows the other instances, a node that has just started does not.
+	started := c.node("reports-2", "reports", 1, "control-1")
+	for range 3 {
+		assert.Equal(t, <-started.sessionEnds, wasabistand.Reason("not-confirmed"))
+	}
+}
+
 // Guards against committing two racing commands, and against a conflict error
 // that does not identify the winner.
 func TestRacingAppliesHaveOneWinner(t *testing.T) {
--- a/wasabicontrol/session.go
+++ b/wasabicontrol/session.go
@@ -94,6 +94,10 @@
 		i.log.Info().Str("Instance", instance.ID).Str("Region", instance.Location.Region).Str("Elsewhere", address).Msg("region is served by other control instances")
 		return "other-region"
 	}
+	if s.group.confirmer.hasLostQuorum(time.Now(), i.settings.quorumLossTimeout) {
+		// The node finds a control instance with a quorum sooner elsewhere.
+		return reasonNotConfirmed
+	}
 	// The state is confirmed after the node's request arrived, so that a
 	// restarted node receives no configuration older than any node had before.
 	ctx, cancel := context.WithTimeout(ctx, i.settings.confirmTimeout)
--- a/wasabisession/candidates.go
+++ b/wasabisession/candidates.go
@@ -12,8 +12,9 @@
 const maxCandidates = 64
 
 // candidates orders the control instances to try: those of the node's own
-// region, then the others, each by rendezvous hash. Instances in backoff after a
-// failure are left out.
+// region, then the others, each by rendezvous hash. Instances that failed recently
+// come last, since those of one region may be cut off together, and instances in
+// backoff after a failure are left out.
 type candidates struct {
 	self       string
 	options    Options
@@ -45,8 +46,12 @@
 	}
 }
 
+// failureMemory is how long after the end of its backoff an instance that failed is
+// tried after all others.
+const failureMemory = 10 * time.Second
+
 // ranked returns all addresses in order of preference.
-func (c *candidates) ranked() []string {
+func (c *candidates) ranked(now time.Time) []string {
 	var list []string
 	for _, tier := range [][]string{c.regional, c.all, c.configured} {
 		tier = slices.Clone(tier)
@@ -65,9 +70,18 @@
 			}
 		}
 	}
+	slices.SortStableFunc(list, func(a, b string) int { return c.recentFailures(now, a) - c.recentFailures(now, b) })
 	return list
 }
 
+// recentFailures returns 1 for an address that failed recently, 0 for others.
+func (c *candidates) recentFailures(now time.Time, address string) int {
+	if f, ok := c.failed[address]; ok && now.Before(f.until.Add(failureMemory)) {
+		return 1
+	}
+	return 0
+}
+
 func (c *candidates) score(address string) uint64 {
 	return xxhash.Sum64String(address + "\x00" + c.self)
 }
@@ -78,7 +92,7 @@
 func (c *candidates) next(now time.Time) ([]string, time.Duration) {
 	var list []string
 	best, until := "", time.Time{}
-	for _, a := range c.ranked() {
+	for _, a := range c.ranked(now) {
 		f := c.failed[a]
 		if !f.until.After(now) {
 			list = append(list, a)
--- a/wasabisession/session_test.go
+++ b/wasabisession/session_test.go
@@ -192,6 +192,42 @@
 	assert.Equal(t, events.await(wasabistand.EventSessionDown).Reason, wasabistand.Reason("stopping"))
 }
 
+// Guards against a node that returns to the control instances of its region, which are
+// cut off together and refuse it, before it has tried those of other regions.
+func TestRefusedInstancesAreTriedLast(t *testing.T) {
+	controls := []*fakeControl{newControl(t), newControl(t), newControl(t)}
+	near := []string{controls[0].address, controls[1].address}
+	s, _ := newSession(t, wasabisession.NewOptions(near[0]))
+	k, _ := controls[0].nextSession()
+	k.sendConfiguration(t, &wasabistandv1.ConfigurationUpdate{
+		Revision: 1, ControlAddresses: append([]string{controls[2].address}, near...),
+		ControlRegions: map[string]*wasabistandv1.AddressList{"here": {Addresses: near}, "there": {Addresses: []string{controls[2].address}}},
+	})
+	awaitView(s, func(*wasabistand.View) bool { return true })
+	k.sendRefusal(t, "not-confirmed")
+	close(k.release)
+	refused := 0
+	for {
+		select {
+		case k := <-controls[0].sessions:
+			k.sendRefusal(t, "not-confirmed")
+			close(k.release)
+			refused++
+		case k := <-controls[1].sessions:
+			// Longer than the backoff of the first one.
+			time.Sleep(100 * time.Millisecond)
+			k.sendRefusal(t, "not-confirmed")
+			close(k.release)
+			refused++
+		case k := <-controls[2].sessions:
+			k.sendConfiguration(t, &wasabistandv1.ConfigurationUpdate{Revision: 2})
+			awaitView(s, func(v *wasabistand.View) bool { return v.Revision == 2 })
+			assert.Equal(t, refused, 1)
+			return
+		}
+	}
+}
+
 // Guards against a node that doesn't learn why its session ended, because it was
 // sending when the link ended.
 func TestReasonIsKeptWhileSending(t *testing.T) {
