wasabigateway: hold requests while a node that has started learns its configuration

Cause: after a loss of power of all, a node refused requests 150 ms after they came until it had a configuration, with a return after 300 ms. Change: wasabiplace.StartupWait decides how long a node without a configuration holds a request, at most a sixth of the caller's timeout and 4 s after the start, and when the caller should return. It answers the load after a loss of power. Deadline and objective count from the arrival of the request, not from the end of the wait.

--- a/internal/traffic/wasabigateway/edge_test.go
+++ b/internal/traffic/wasabigateway/edge_test.go
@@ -186,7 +186,7 @@
 // is about to open.
 func TestFirstRequestsWaitForConfiguration(t *testing.T) {
 	k := newControl(nil)
-	n := startNode(t, k, wasabigateway.NewSettings("node", "s", "127.0.0.1:1").WithFirstSession(time.Minute), "node")
+	n := startNode(t, k, wasabigateway.NewSettings("node", "s", "127.0.0.1:1").WithStartupLimit(time.Minute), "node")
 	status := make(chan int)
 	go func() { status <- n.call(t, http.MethodGet, "/nowhere/x", "1", "").status }()
 	k.view.Store(&wasabistand.View{Revision: 1, Configuration: configuration(time.Minute)})
--- a/internal/traffic/wasabigateway/gateway_test.go
+++ b/internal/traffic/wasabigateway/gateway_test.go
@@ -133,6 +133,9 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.list = append(k.list, i)
+	if k.view.Load() == nil {
+		return
+	}
 	v := *k.view.Load()
 	all := map[string][]wasabistand.Instance{}
 	for s, list := range v.Instances {
--- a/internal/traffic/wasabigateway/ingress.go
+++ b/internal/traffic/wasabigateway/ingress.go
@@ -12,12 +12,13 @@
 	"github.com/wasabistand/wasabistand"
 	"github.com/wasabistand/wasabistand/internal/edge/wasabihttp"
 	"github.com/wasabistand/wasabistand/internal/policy/wasabimatch"
+	"github.com/wasabistand/wasabistand/internal/policy/wasabiplace"
 )
 
 // Retry-After values of refusals.
 const (
-	// retryAfterNotReady covers the opening of a session with control.
-	retryAfterNotReady = 300 * time.Millisecond
+	// retryAfterLeaving is long enough for callers to switch to another node.
+	retryAfterLeaving = 300 * time.Millisecond
 	// defaultRetryAfter is used for refusals that set no time.
 	defaultRetryAfter = 200 * time.Millisecond
 	maxRetryAfter     = 10 * time.Second
@@ -87,11 +88,19 @@
 func (g *Gateway) prepare(q *request) (int, *wasabistand.Refusal) {
 	r := q.x.Request
 	if at := g.stoppingSince.Load(); at != 0 && g.now().Sub(time.Unix(0, at)) > g.settings.refuseAfter {
-		return http.StatusServiceUnavailable, wasabistand.NewRefusal(wasabistand.ReasonLeaving, "the node stops").WithRetryAfter(retryAfterNotReady)
+		return http.StatusServiceUnavailable, wasabistand.NewRefusal(wasabistand.ReasonLeaving, "the node stops").WithRetryAfter(retryAfterLeaving)
 	}
-	c := g.configuration()
+	callerTimeout, refusal := g.callerTimeout(r)
+	switch {
+	case refusal == nil:
+	case refusal.Reason == wasabistand.ReasonBadRequest:
+		return http.StatusBadRequest, refusal
+	default:
+		return statusOf(refusal), refusal
+	}
+	c, retryAfter := g.awaitConfiguration(callerTimeout)
 	if c == nil {
-		return http.StatusServiceUnavailable, wasabistand.NewRefusal(wasabistand.ReasonNotReady, "no configuration is confirmed yet").WithRetryAfter(retryAfterNotReady)
+		return http.StatusServiceUnavailable, wasabistand.NewRefusal(wasabistand.ReasonNotReady, "no configuration is confirmed yet").WithRetryAfter(retryAfter)
 	}
 	path := target(r)
 	var ok bool
@@ -99,20 +108,11 @@
 		return http.StatusNotFound, wasabistand.NewRefusal(wasabistand.ReasonUnknownCall, fmt.Sprintf("host %.64q, path %.64q: no route of revision %d", r.Host, path, c.revision))
 	}
 	timeout := q.route.Timeout
-	if v := r.Header.Get(g.settings.headers.Timeout); v != "" {
-		ms, err := strconv.ParseInt(v, 10, 64)
-		if err != nil {
-			return http.StatusBadRequest, wasabistand.NewRefusal(wasabistand.ReasonBadRequest, fmt.Sprintf("%s: %.32q, allowed is a whole number of milliseconds", g.settings.headers.Timeout, v))
-		}
-		if ms <= 0 {
-			return http.StatusServiceUnavailable, wasabistand.NewRefusal(wasabistand.ReasonDeadline, "the patience has ended")
-		}
-		if d := time.Duration(ms) * time.Millisecond; ms < int64(timeout/time.Millisecond)+1 && d < timeout {
-			timeout = d
-		}
+	if callerTimeout > 0 {
+		timeout = min(timeout, callerTimeout)
 	}
 	now := g.now()
-	q.deadline = now.Add(timeout)
+	q.deadline = q.x.Received.Add(timeout)
 	g.mu.Lock()
 	s := g.splitSequences[q.route.Name]
 	if len(q.route.Split) > 1 && s == nil {
@@ -133,7 +133,7 @@
 	q.attempt = attempt{
 		requestID: q.id, service: q.service, route: q.route.Name, origin: g.settings.service,
 		method: r.Method, target: path, headers: endToEndFields(r.Header), host: r.Host,
-		deadline: q.deadline, objective: now.Add(q.route.Objective), importance: q.route.Importance,
+		deadline: q.deadline, objective: q.x.Received.Add(q.route.Objective), importance: q.route.Importance,
 		retryable: q.route.Kind.Retryable(), revision: c.revision, length: r.ContentLength,
 	}
 	return 0, nil
@@ -159,15 +159,37 @@
 	return r.RequestURI
 }
 
-// configuration returns the applied configuration. A node that has just started
-// waits for a short time until its first session is open; the result is nil if
-// there is still no configuration.
-func (g *Gateway) configuration() *appliedConfig {
-	if c := g.config.Load(); c != nil || g.now().Sub(g.started) > g.settings.sessionWait {
-		return c
+// maxCallerTimeout bounds the timeouts that callers may set.
+const maxCallerTimeout = 24 * time.Hour
+
+// callerTimeout returns the timeout that a caller set, 0 for none.
+func (g *Gateway) callerTimeout(r *http.Request) (time.Duration, *wasabistand.Refusal) {
+	v := r.Header.Get(g.settings.headers.Timeout)
+	if v == "" {
+		return 0, nil
+	}
+	ms, err := strconv.ParseInt(v, 10, 64)
+	if err != nil {
+		return 0, wasabistand.NewRefusal(wasabistand.ReasonBadRequest, fmt.Sprintf("%s: %.32q, allowed is a whole number of milliseconds", g.settings.headers.Timeout, v))
+	}
+	if ms <= 0 {
+		return 0, wasabistand.NewRefusal(wasabistand.ReasonDeadline, "the patience has ended")
+	}
+	return time.Duration(min(ms, maxCallerTimeout.Milliseconds())) * time.Millisecond, nil
+}
+
+// awaitConfiguration returns the applied configuration. A node that has just started
+// waits for it; if there is still none, the result is nil and the time after which the
+// caller should return.
+func (g *Gateway) awaitConfiguration(timeout time.Duration) (*appliedConfig, time.Duration) {
+	if c := g.config.Load(); c != nil {
+		return c, 0
+	}
+	wait, retryAfter := wasabiplace.StartupWait(g.now().Sub(g.started), g.settings.startupLimit, timeout)
+	if wait > 0 {
+		g.waitFor(wait, func() bool { return g.config.Load() != nil })
 	}
-	g.waitFor(g.settings.sessionWait, func() bool { return g.config.Load() != nil })
-	return g.config.Load()
+	return g.config.Load(), retryAfter
 }
 
 // waitForInstances waits until control has reported the instances of a service.
--- a/internal/traffic/wasabigateway/settings.go
+++ b/internal/traffic/wasabigateway/settings.go
@@ -57,7 +57,7 @@
 	responseGrace       time.Duration
 	queueLimit          int
 	instanceWait        time.Duration
-	sessionWait         time.Duration
+	startupLimit        time.Duration
 	maxPlacements       int
 }
 
@@ -86,9 +86,8 @@
 		responseGrace: 100 * time.Millisecond,
 		queueLimit:    400,
 		instanceWait:  time.Second,
-		// A session with an available control group opens within a few round trips
-		// between regions.
-		sessionWait:   150 * time.Millisecond,
+		// After this time without a configuration, control is unavailable.
+		startupLimit:  4 * time.Second,
 		maxPlacements: 4,
 	}
 }
@@ -134,10 +133,10 @@
 	return s
 }
 
-// WithFirstSession returns a copy whose first requests wait up to d for the session
-// with control to open.
-func (s Settings) WithFirstSession(d time.Duration) Settings {
-	s.sessionWait = d
+// WithStartupLimit returns a copy whose requests may wait for a configuration within d
+// after the node's start.
+func (s Settings) WithStartupLimit(d time.Duration) Settings {
+	s.startupLimit = d
 	return s
 }
 
