--- a/wasabiwire/wire.go
+++ b/wasabiwire/wire.go
@@ -60,11 +60,11 @@
 			return wasabistand.Instance{}, wasabistand.ErrInvalid.New("%s: %d bytes, allowed are 1 to %d", f.name, len(f.value), MaxNameBytes)
 		}
 	}
-	if _, err := netip.ParseAddrPort(m.GetLinkAddress()); err != nil {
+	if a, err := netip.ParseAddrPort(m.GetLinkAddress()); err != nil || a.Port() == 0 {
 		return wasabistand.Instance{}, wasabistand.ErrInvalid.New("link_address: %q, allowed is IP:port", m.GetLinkAddress())
 	}
 	if a := m.GetAdminAddress(); a != "" {
-		if _, err := netip.ParseAddrPort(a); err != nil {
+		if p, err := netip.ParseAddrPort(a); err != nil || p.Port() == 0 {
 			return wasabistand.Instance{}, wasabistand.ErrInvalid.New("admin_address: %q, allowed is IP:port", a)
 		}
 	}
