--- a/internal/traffic/wasabigateway/local.go
+++ b/internal/traffic/wasabigateway/local.go
@@ -35,7 +35,6 @@
 type lease struct {
 	id       string
 	lifetime int
-	slots    int
 	upstream *wasabihttp.Upstream
 	// revoked is closed once no further call may be sent to the upstream.
 	revoked chan struct{}
@@ -156,7 +155,7 @@
 	}
 	g := o.gateway
 	o.lease = &lease{
-		id: s.ID, lifetime: s.Lifetime, slots: s.Slots, revoked: make(chan struct{}),
+		id: s.ID, lifetime: s.Lifetime, revoked: make(chan struct{}),
 		upstream: wasabihttp.NewUpstream(wasabihttp.UpstreamOptions{
 			Address: g.settings.upstream, MaxConnections: o.maxConns, IdleTimeout: upstreamIdleTimeout,
 			DialTimeout: upstreamDialTimeout, EchoHeader: g.settings.headers.RequestID, MaxHeaderBytes: maxResponseHeaderBytes,
--- a/wasabicontrol/join.go
+++ b/wasabicontrol/join.go
@@ -41,7 +41,6 @@
 type membershipManager struct {
 	instance        *Instance
 	group           *group
-	options         wasabiform.Options
 	planner         *wasabiform.Planner
 	addresses       []string // known members, to which join requests are sent
 	leaderlessSince time.Time
@@ -50,7 +49,7 @@
 
 func newMembershipManager(i *Instance, g *group) *membershipManager {
 	o := wasabiform.NewOptions(i.settings.maxDiskLosses)
-	mm := &membershipManager{instance: i, group: g, options: o, planner: wasabiform.New(o), leaderlessSince: time.Now()}
+	mm := &membershipManager{instance: i, group: g, planner: wasabiform.New(o), leaderlessSince: time.Now()}
 	for _, m := range g.settings.Members {
 		mm.addresses = append(mm.addresses, m.Address)
 	}
--- a/wasabinode/callerlimits.go
+++ b/wasabinode/callerlimits.go
@@ -18,8 +18,7 @@
 }
 
 type callerLimit struct {
-	bucket   *rate.Limiter
-	lastUsed time.Time
+	bucket *rate.Limiter
 }
 
 func newCallerLimits(limit int) *callerLimits {
@@ -52,7 +51,6 @@
 	if b.bucket.Burst() != burst {
 		b.bucket.SetBurstAt(now, burst)
 	}
-	b.lastUsed = now
 	r := b.bucket.ReserveN(now, 1)
 	if d := r.DelayFrom(now); d > 0 {
 		r.CancelAt(now)
--- a/wasabinode/upstream.go
+++ b/wasabinode/upstream.go
@@ -69,7 +69,9 @@
 func (c *countedConn) isForEarlierCall(h http.Header, id, token string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	earlier := func(name, current string) bool { return name != "" && name != current && slices.Contains(c.names, name) }
+	earlier := func(name, current string) bool {
+		return name != "" && name != current && slices.Contains(c.names, name)
+	}
 	found := earlier(h.Get(wasabiheader.Request), id) || earlier(h.Get(wasabiheader.Shed), token)
 	c.names = append(c.names, id, token)
 	if n := len(c.names); n > maxCallNames {
--- a/wasabisettings/node.go
+++ b/wasabisettings/node.go
@@ -5,10 +5,12 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
 	"net/url"
 	"os"
 	"regexp"
+	"slices"
 	"time"
 
 	"github.com/wasabistand/wasabistand/wasabitoml"
@@ -174,7 +176,8 @@
 // the same address.
 func checkAddresses(d *wasabitoml.Document, list map[string]string) {
 	keyByAddress := map[string]string{}
-	for key, a := range list {
+	for _, key := range slices.Sorted(maps.Keys(list)) {
+		a := list[key]
 		checkAddress(d, key, a)
 		if other, ok := keyByAddress[a]; ok && a != "" {
 			d.AddProblem(max(key, other), "%q is also the address of %s", a, min(key, other))
