wasabimember: do not send instances that leave

Cause: the restart of one node cost every other node four entries: that it leaves, that its next process has no instance yet, and the two states after that. Change: nodes are sent only instances that may get calls; one that leaves is removed by its name, also while a list is incomplete. The new tests play a restart and an incomplete list.

--- a/wasabimember/feed.go
+++ b/wasabimember/feed.go
@@ -32,17 +32,21 @@
 
 // Update returns what a node must be sent of a service's list, nil if nothing, and
 // its feed after that. complete is true if the registry knows all instances; until
-// then the node is only sent additions to the list that it has.
+// then the node is only sent additions to the list that it has, and instances that
+// leave.
 func (r *Registry) Update(service string, f Feed, complete bool) (*wasabistandv1.MembershipDelta, Feed) {
 	switch version := r.Version(service); {
 	case !complete:
 		d := r.Delta(service, max(f.complete, f.partial))
 		f.partial = version
-		if d == nil || len(d.GetUpserts()) == 0 {
+		if d == nil {
 			return nil, f
 		}
-		d.Partial, d.BaseVersion, d.Removes = true, 0, nil
-		f.hasList = true
+		d.Removes = r.leaving(service, d)
+		if len(d.GetUpserts()) == 0 && len(d.GetRemoves()) == 0 {
+			return nil, f
+		}
+		d.Partial, d.BaseVersion, f.hasList = true, 0, true
 		return d, f
 	case f.complete == 0 && f.hasList:
 		return &wasabistandv1.MembershipDelta{Service: service, Version: version, Digest: r.listDigest(service)}, Feed{complete: version}
@@ -51,6 +55,21 @@
 	}
 }
 
+// leaving returns the instances of an incomplete list that announced that they leave:
+// all of them for a whole list, or those among the removed ones. Other removed ones may
+// be known to other control instances.
+func (r *Registry) leaving(service string, d *wasabistandv1.MembershipDelta) []string {
+	s := r.services[service]
+	if s == nil {
+		return nil
+	}
+	candidates := d.GetRemoves()
+	if d.GetBaseVersion() == 0 {
+		candidates = slices.Sorted(maps.Keys(s.members))
+	}
+	return slices.DeleteFunc(candidates, func(id string) bool { m := s.members[id]; return m == nil || m.isListed() })
+}
+
 // listDigest returns the digest of a service's list.
 func (r *Registry) listDigest(service string) uint64 {
 	s := r.services[service]
@@ -60,7 +79,9 @@
 	if s.digestVersion != s.version {
 		list := make(map[string]wasabistand.Instance, len(s.members))
 		for id, m := range s.members {
-			list[id] = m.published
+			if m.isListed() {
+				list[id] = m.published
+			}
 		}
 		s.digest, s.digestVersion = Digest(list), s.version
 	}
--- a/wasabimember/feed_test.go
+++ b/wasabimember/feed_test.go
@@ -38,6 +38,9 @@
 		}
 		return
 	}
+	for _, m := range d.GetUpserts() {
+		assert.Assert(t, m.GetState() != wasabistandv1.InstanceState_INSTANCE_STATE_LEAVING)
+	}
 	if d.GetBaseVersion() == 0 && !d.GetPartial() {
 		clear(s.list)
 	}
@@ -148,6 +151,59 @@
 	}
 }
 
+// TestRestartOfInstanceIsShort plays the restart of a node: it leaves, announces itself
+// as leaving until its instance reports, and then as ready. It guards against entries
+// that nodes do not need.
+func TestRestartOfInstanceIsShort(t *testing.T) {
+	r := wasabimember.New(wasabimember.NewOptions("control-1", 1))
+	announce(t, r, start, 20)
+	s := &subscriber{list: map[string]wasabistand.Instance{}}
+	s.receive(t, r, true)
+	entry := proto.Size(wasabiwire.FromInstance(instance(0)))
+	s.bytes = 0
+	i := instance(7).WithSequence(2).WithState(wasabistand.Leaving)
+	assert.NilError(t, r.Announce(start, i))
+	s.receive(t, r, true)
+	assert.Equal(t, len(s.list), 19)
+	r.Disconnect(start, i.ID, i.Incarnation, i.Sequence)
+	s.receive(t, r, true)
+	i.Incarnation++
+	assert.NilError(t, r.Announce(start, i))
+	s.receive(t, r, true)
+	assert.Equal(t, len(s.list), 19)
+	// The next incarnation of the node's instance.
+	i.Incarnation, i.State = i.Incarnation+1, wasabistand.Ready
+	assert.NilError(t, r.Announce(start, i))
+	s.receive(t, r, true)
+	assert.Equal(t, len(s.list), 20)
+	assert.Assert(t, s.bytes < 2*entry, "%d bytes, an entry has %d", s.bytes, entry)
+}
+
+// TestIncompleteListSendsLeaving guards against nodes that send calls to an instance
+// that leaves while a control instance does not know all instances yet, and against
+// the removal of instances that others may know.
+func TestIncompleteListSendsLeaving(t *testing.T) {
+	r := wasabimember.New(wasabimember.NewOptions("control-1", 1))
+	s := &subscriber{list: map[string]wasabistand.Instance{"archive-0000": instance(0), "archive-0001": instance(1), "archive-0002": instance(2)}, feed: wasabimember.NewFeed(0, true)}
+	assert.NilError(t, r.Announce(start, instance(0).WithState(wasabistand.Leaving)))
+	s.receive(t, r, false)
+	assert.Equal(t, len(s.list), 2)
+	assert.NilError(t, r.Announce(start, instance(1)))
+	s.receive(t, r, false)
+	assert.Equal(t, len(s.list), 2)
+	assert.NilError(t, r.Announce(start, instance(1).WithSequence(2).WithState(wasabistand.Leaving)))
+	s.receive(t, r, false)
+	assert.Equal(t, len(s.list), 1)
+	// Its lease expires: that it has gone is not certain before the list is complete.
+	assert.NilError(t, r.Announce(start, instance(2)))
+	s.receive(t, r, false)
+	r.Tick(start.Add(10 * time.Second))
+	s.receive(t, r, false)
+	assert.Equal(t, len(s.list), 1)
+	s.receive(t, r, true)
+	assert.Equal(t, len(s.list), 0)
+}
+
 // TestMoveRepairsOldList guards against a node that keeps instances that left while
 // it moved, or misses new ones.
 func TestMoveRepairsOldList(t *testing.T) {
--- a/wasabimember/service.go
+++ b/wasabimember/service.go
@@ -11,7 +11,8 @@
 	"github.com/wasabistand/wasabistand/wasabiwire"
 )
 
-// service holds the listed instances of one service, as published to nodes.
+// service holds the instances of one service. Those that don't leave are published to
+// nodes.
 type service struct {
 	members map[string]*member
 	version uint64
@@ -35,6 +36,10 @@
 	entry   *entry
 }
 
+// isListed reports whether nodes are sent the instance. They need no instances that
+// are leaving: a restart would cost each of them two entries more.
+func (m *member) isListed() bool { return m.published.State != wasabistand.Leaving }
+
 type change struct {
 	version uint64
 	id      string
@@ -50,8 +55,11 @@
 	if name, ok := r.listedService[id]; ok && (state == leaseExpired || name != e.instance.Service) {
 		delete(r.listedService, id)
 		s := r.services[name]
+		wasListed := s.members[id].isListed()
 		delete(s.members, id)
-		r.recordChange(s, id)
+		if wasListed {
+			r.recordChange(s, id)
+		}
 	}
 	if state == leaseExpired {
 		return
@@ -74,11 +82,18 @@
 		if m.published == published {
 			return
 		}
+		wasListed := m.isListed()
 		m.published = published
-	} else {
-		s.members[id] = &member{published: published, suspect: isSuspect, entry: e}
+		if wasListed || m.isListed() {
+			r.recordChange(s, id)
+		}
+		return
+	}
+	m := &member{published: published, suspect: isSuspect, entry: e}
+	s.members[id] = m
+	if m.isListed() {
+		r.recordChange(s, id)
 	}
-	r.recordChange(s, id)
 }
 
 func (r *Registry) refreshAll(l *memberList) {
@@ -112,7 +127,7 @@
 // this registry, or the full list, with base version 0, if they are no longer
 // in the change log. It returns nil if nothing changed. A node with a version
 // of another control instance gets the full list. Sequences and applied
-// revisions are omitted, so that renewals cause no deltas; so are suspicions, which nodes don't use. Drains are sent
+// revisions are omitted, so that renewals cause no deltas; so are suspicions, which nodes don't use, and instances that leave. Drains are sent
 // with the configuration.
 func (r *Registry) Delta(service string, from uint64) *wasabistandv1.MembershipDelta {
 	d := &wasabistandv1.MembershipDelta{Service: service, Version: r.Version(service)}
@@ -125,7 +140,9 @@
 	}
 	if from < s.logStart || from > s.version {
 		for _, id := range slices.Sorted(maps.Keys(s.members)) {
-			d.Upserts = append(d.Upserts, wasabiwire.FromInstance(s.members[id].published))
+			if m := s.members[id]; m.isListed() {
+				d.Upserts = append(d.Upserts, wasabiwire.FromInstance(m.published))
+			}
 		}
 		return d
 	}
@@ -135,7 +152,7 @@
 		changed[s.changes[i].id] = struct{}{}
 	}
 	for _, id := range slices.Sorted(maps.Keys(changed)) {
-		if m := s.members[id]; m != nil {
+		if m := s.members[id]; m != nil && m.isListed() {
 			d.Upserts = append(d.Upserts, wasabiwire.FromInstance(m.published))
 		} else {
 			d.Removes = append(d.Removes, id)
--- a/wasabisession/state.go
+++ b/wasabisession/state.go
@@ -175,11 +175,14 @@
 }
 
 // mergePartial adds the instances of a control instance that does not have the
-// complete list yet.
+// complete list yet, and removes those that it knows to leave.
 func (s *state) mergePartial(d *wasabistandv1.MembershipDelta) {
 	service := d.GetService()
 	list := make(map[string]wasabistand.Instance, len(d.GetUpserts()))
 	maps.Copy(list, s.members[service])
+	for _, id := range d.GetRemoves() {
+		delete(list, id)
+	}
 	for _, m := range d.GetUpserts() {
 		if i, err := wasabiwire.ToInstance(m); err == nil && i.Service == service {
 			list[i.ID] = i
