Sessions stay in their region after a start of all, and return to it

Change: until its first confirmation a control instance keeps sessions waiting for 1.3 s; a session with an instance of another region ends once one of the node's own region can be reached, 5 to 10 s after its start, later after each attempt.

--- a/wasabicontrol/confirmer.go
+++ b/wasabicontrol/confirmer.go
@@ -92,6 +92,17 @@
 	return now.Sub(time.Unix(0, c.lastConfirmed.Load()))
 }
 
+// confirmFirst is like confirm, but repeats failed rounds until the context ends while
+// the quorum has never confirmed the state.
+func (c *confirmer) confirmFirst(ctx context.Context) error {
+	for {
+		err := c.confirm(ctx)
+		if err == nil || ctx.Err() != nil || c.ctx.Err() != nil || c.lastConfirmed.Load() != 0 {
+			return err
+		}
+	}
+}
+
 // hasLostQuorum reports whether the quorum confirmed the state before, but not within
 // the timeout. Before the first confirmation, as during the election after a start of
 // all, it returns false.
--- a/wasabicontrol/session.go
+++ b/wasabicontrol/session.go
@@ -26,6 +26,10 @@
 	// sessionStartTimeout bounds the time to receive the first frames of a
 	// session.
 	sessionStartTimeout = 5 * time.Second
+	// firstConfirmTimeout bounds the wait for the first election after a start of all,
+	// during which nodes would not find a quorum elsewhere. It is shorter than the time
+	// for which nodes wait for the start of a session.
+	firstConfirmTimeout = 1300 * time.Millisecond
 	// refusalRetryAfter delays the next attempt of a refused node for part of
 	// an election. The confirmation that the node then waits for covers the
 	// rest.
@@ -100,9 +104,9 @@
 	}
 	// The state is confirmed after the node's request arrived, so that a
 	// restarted node receives no configuration older than any node had before.
-	ctx, cancel := context.WithTimeout(ctx, i.settings.confirmTimeout)
+	ctx, cancel := context.WithTimeout(ctx, max(i.settings.confirmTimeout, firstConfirmTimeout))
 	defer cancel()
-	if err := s.group.confirmer.confirm(ctx); err != nil {
+	if err := s.group.confirmer.confirmFirst(ctx); err != nil {
 		return reasonNotConfirmed
 	}
 	reason := reasonStopping
--- a/wasabisession/candidates.go
+++ b/wasabisession/candidates.go
@@ -48,7 +48,7 @@
 
 // failureMemory is how long after the end of its backoff an instance that failed is
 // tried after all others.
-const failureMemory = 10 * time.Second
+const failureMemory = 5 * time.Second
 
 // ranked returns all addresses in order of preference.
 func (c *candidates) ranked(now time.Time) []string {
@@ -82,6 +82,23 @@
 	return 0
 }
 
+// homeOf returns the preferred control instance of the node's region that is not in
+// backoff, empty if there is none or if address is one of the region.
+func (c *candidates) homeOf(now time.Time, address string) string {
+	if c.isRegional(address) {
+		return ""
+	}
+	for _, a := range c.ranked(now) {
+		if c.isRegional(a) && !c.failed[a].until.After(now) {
+			return a
+		}
+	}
+	return ""
+}
+
+// isRegional reports whether an address is one of the node's region.
+func (c *candidates) isRegional(address string) bool { return slices.Contains(c.regional, address) }
+
 func (c *candidates) score(address string) uint64 {
 	return xxhash.Sum64String(address + "\x00" + c.self)
 }
--- a/wasabisession/options.go
+++ b/wasabisession/options.go
@@ -23,6 +23,7 @@
 	responseTimeout    time.Duration
 	reconnectSpread    time.Duration
 	dialStagger        time.Duration
+	returnDelay        time.Duration
 	minBackoff         time.Duration
 	maxBackoff         time.Duration
 	claimTimeout       time.Duration
@@ -49,6 +50,8 @@
 		reconnectSpread: 500 * time.Millisecond,
 		// Several round trips between regions.
 		dialStagger: 250 * time.Millisecond,
+		// Long enough for a region to be stable again.
+		returnDelay: 5 * time.Second,
 		minBackoff:  250 * time.Millisecond,
 		maxBackoff:  5 * time.Second,
 		// Longest time that a call waits for its claim.
@@ -78,6 +81,14 @@
 	return o
 }
 
+// WithReturnDelay returns a copy that looks for a control instance of the node's region
+// d to 2d after the start of a session with one of another region, and after twice the
+// time each time.
+func (o Options) WithReturnDelay(d time.Duration) Options {
+	o.returnDelay = d
+	return o
+}
+
 // WithResponseTimeout returns a copy that waits at most d for the first
 // configuration of a session.
 func (o Options) WithResponseTimeout(d time.Duration) Options {
--- a/wasabisession/session.go
+++ b/wasabisession/session.go
@@ -41,6 +41,7 @@
 	// Owned by run.
 	state      state
 	candidates *candidates
+	returns    int // attempts to return to the node's region
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -286,7 +287,7 @@
 		_ = stream.Close()
 		<-ended
 	}()
-	c := &sessionStream{session: s, stream: stream, address: address}
+	c := &sessionStream{session: s, stream: stream, address: address, homeReachable: make(chan struct{}, 1)}
 	return c.run(frames, ended)
 }
 
--- a/wasabisession/session_stream.go
+++ b/wasabisession/session_stream.go
@@ -1,6 +1,7 @@
 package wasabisession
 
 import (
+	"context"
 	"time"
 
 	"github.com/wasabistand/wasabistand"
@@ -20,8 +21,20 @@
 	established bool      // the first configuration has arrived
 	lastAck     time.Time // when control last acknowledged a renewal
 	resync      bool
+	// homeReachable receives a value when a control instance of the node's region can
+	// be reached while the session is with one of another region.
+	homeReachable chan struct{}
 }
 
+// Sessions with control instances of other regions end once one of the node's own
+// region can be reached again. The nodes of a region return over a time, and later
+// after each attempt.
+const (
+	maxReturnDelay    = 5 * time.Minute
+	homeDialTimeout   = time.Second
+	reasonReturnsHome = "returns-to-region"
+)
+
 // reasonLinkLost is the reason of sessions whose link ended without another one.
 const reasonLinkLost = "link-lost"
 
@@ -62,10 +75,19 @@
 	defer responseTimer.Stop()
 	renew := time.NewTicker(s.options.renewInterval)
 	defer renew.Stop()
+	returnTimer := time.NewTimer(s.nextReturnDelay())
+	defer returnTimer.Stop()
 	for {
 		select {
 		case <-s.ctx.Done():
 			return "closed", 0
+		case <-returnTimer.C:
+			if home := s.candidates.homeOf(time.Now(), c.address); home != "" {
+				s.wait.Go(func() { c.dialHome(home) })
+				returnTimer.Reset(s.nextReturnDelay())
+			}
+		case <-c.homeReachable:
+			return reasonReturnsHome, 0
 		case <-ended:
 			if r, after := c.handleAll(frames); r != "" {
 				return r, after
@@ -105,6 +127,23 @@
 	}
 }
 
+// nextReturnDelay returns the time until the session looks for a control instance of
+// the node's region. It doubles with each attempt.
+func (s *Session) nextReturnDelay() time.Duration {
+	d := min(s.options.returnDelay<<min(s.returns, 16), maxReturnDelay)
+	s.returns++
+	return d + s.candidates.jitter(d)
+}
+
+// dialHome opens a link to a control instance of the node's region.
+func (c *sessionStream) dialHome(address string) {
+	ctx, cancel := context.WithTimeout(c.session.ctx, homeDialTimeout)
+	defer cancel()
+	if _, err := c.session.pool.Get(ctx, address); err == nil {
+		notify(c.homeReachable)
+	}
+}
+
 // handleAll handles all frames that have already arrived, so that a burst of
 // deltas results in one snapshot.
 func (c *sessionStream) handleAll(frames <-chan *wasabistandv1.ControlFrame) (string, time.Duration) {
@@ -137,6 +176,9 @@
 		if !c.established {
 			c.established = true
 			s.candidates.recordSuccess(c.address)
+			if s.candidates.isRegional(c.address) {
+				s.returns = 0
+			}
 			s.record(wasabistand.EventSessionUp, "", wasabistand.HeaderField{Name: "Control", Value: c.address})
 		}
 		s.lastConfirmed.Store(time.Now().UnixNano())
