wasabicontrol: push changed lists at most ten times a second

Cause: while many instances change, each change was a message to each node of its own, 11,751 from one control instance in 20 s of rolling restarts. Change: the first change after a pause is pushed after 20 ms as before, further ones at least 100 ms after the last push.

--- a/wasabicontrol/hub.go
+++ b/wasabicontrol/hub.go
@@ -20,6 +20,10 @@
 	// lostRetention and maxLostInstances limit the record of lost instances.
 	lostRetention    = time.Hour
 	maxLostInstances = 4096
+	// minFlushGap is the least time between two pushes of changed lists, so that
+	// the changes of many instances share messages. The first change after a pause
+	// is pushed after the flush interval.
+	minFlushGap = 100 * time.Millisecond
 	// sentLogInterval is how often the bytes sent are logged.
 	sentLogInterval = 10 * time.Second
 )
@@ -47,6 +51,7 @@
 	dirty       bool                             // lists may have changed since the last push
 	flushTimer  *time.Timer
 	flushArmed  bool
+	lastFlush   time.Time
 	lastSync    time.Time
 	// completeAt is when the lists are complete again after a start or a loss
 	// of quorum.
@@ -113,13 +118,13 @@
 		case now := <-t.C:
 			h.tick(now)
 		case now := <-h.flushTimer.C:
-			h.flushArmed = false
+			h.flushArmed, h.lastFlush = false, now
 			h.pushMembership(now)
 			h.broadcast(now)
 		}
 		if (h.dirty || h.registry.HasPendingChanges()) && !h.flushArmed {
 			h.flushArmed = true
-			h.flushTimer.Reset(h.instance.settings.flushInterval)
+			h.flushTimer.Reset(max(h.instance.settings.flushInterval, minFlushGap-time.Since(h.lastFlush)))
 		}
 	}
 }
