wasabicontrol: pause between the first rounds of confirmation

Cause: found by reading. Before the first confirmation a session repeats its round; one of a replica that has ended fails at once, so each waiting session would have kept the processor busy for 1.3 s. Change: 50 ms between rounds.

--- a/wasabicontrol/confirmer.go
+++ b/wasabicontrol/confirmer.go
@@ -92,12 +92,26 @@
 	return now.Sub(time.Unix(0, c.lastConfirmed.Load()))
 }
 
+// firstRoundPause is the pause between the rounds before the first confirmation. Rounds
+// take their timeout, but end at once when the replica has ended.
+const firstRoundPause = 50 * time.Millisecond
+
 // confirmFirst is like confirm, but repeats failed rounds until the context ends while
 // the quorum has never confirmed the state.
 func (c *confirmer) confirmFirst(ctx context.Context) error {
 	for {
 		err := c.confirm(ctx)
-		if err == nil || ctx.Err() != nil || c.ctx.Err() != nil || c.lastConfirmed.Load() != 0 {
+		if err == nil || c.lastConfirmed.Load() != 0 {
+			return err
+		}
+		pause := time.NewTimer(firstRoundPause)
+		select {
+		case <-pause.C:
+		case <-ctx.Done():
+		case <-c.ctx.Done():
+		}
+		pause.Stop()
+		if ctx.Err() != nil || c.ctx.Err() != nil {
 			return err
 		}
 	}
