wasabigateway: end a response that its caller reads no further

Cause: found by a test of bodies without end. When a caller left while a response larger than the buffer was sent on, the node next to the upstream stayed blocked in sending until yamux gave the stream up after 25 s, and the call was not cancelled any more once the head of its response had been read: the upstream's slot and connection were held all that time. Change: the end of the other node's stream also ends sending, the watch for the caller lasts until the response is released, and an upload's response has a deadline.

--- a/internal/traffic/wasabigateway/serve.go
+++ b/internal/traffic/wasabigateway/serve.go
@@ -57,6 +57,8 @@
 			var more wasabistandv1.CallFrame
 			_ = stream.Receive(&more)
 			cancel()
+			// The other node reads no further: a response that is being sent ends.
+			_ = stream.SetDeadline(expiredDeadline)
 		}()
 	} else {
 		close(closed)
@@ -64,6 +66,10 @@
 	}
 	out := g.runLocal(callerCtx, a)
 	g.logAttempt("served", a, out)
+	if a.rest != nil {
+		// Nothing watches whether the other node still reads.
+		_ = stream.SetDeadline(time.Now().Add(a.deadline.Sub(g.now()) + g.settings.responseGrace + endTimeout))
+	}
 	g.sendOutcome(stream, out)
 	if a.rest != nil {
 		_ = stream.SetDeadline(time.Now().Add(endTimeout))
--- a/internal/traffic/wasabigateway/upstream.go
+++ b/internal/traffic/wasabigateway/upstream.go
@@ -48,7 +48,6 @@
 		parent = callerCtx
 	}
 	stopWatch := context.AfterFunc(parent, cancelCall)
-	defer stopWatch()
 	started := g.now()
 	out := g.forward(callCtx, l, a)
 	elapsed := g.now().Sub(started)
@@ -56,6 +55,7 @@
 		elapsed = 0
 	}
 	release := func() {
+		stopWatch()
 		cancelCall()
 		g.queue.release(id, elapsed)
 	}
