wasabigateway: a stopping node refuses requests after three seconds

Change: requests are refused as not run 3 s after the start of the shutdown, or after half of the grace time if that is less.

--- a/internal/traffic/wasabigateway/gateway_test.go
+++ b/internal/traffic/wasabigateway/gateway_test.go
@@ -184,13 +184,19 @@
 }
 
 func startNode(t *testing.T, k *control, s wasabigateway.Settings, name string) *node {
+	t.Helper()
+	return startNodeAt(t, k, s, name, nil)
+}
+
+// startNodeAt starts a node with another clock, nil for the system's.
+func startNodeAt(t *testing.T, k *control, s wasabigateway.Settings, name string, now func() time.Time) *node {
 	t.Helper()
 	link, callers := listen(t), listen(t)
 	g, err := wasabigateway.New(
 		s.WithHeaders(headers).WithLinkAddress(link.Addr().String()),
 		wasabigateway.Parts{
 			Directory: k, Announce: k.announce, Link: wasabilink.NewOptions("test", name, 1), Listener: link, Callers: callers,
-			Log: zerolog.Nop(), Random: rand.New(rand.NewPCG(1, 1)), Place: wasabiplace.NewOptions(), Incarnation: 1,
+			Log: zerolog.Nop(), Random: rand.New(rand.NewPCG(1, 1)), Place: wasabiplace.NewOptions(), Incarnation: 1, Now: now,
 			Admission: func(slots, queue int) wasabistand.Admission {
 				return wasabiadmission.New(wasabiadmission.NewOptions().WithLimit(slots).WithQueueLimit(queue))
 			},
--- a/internal/traffic/wasabigateway/settings.go
+++ b/internal/traffic/wasabigateway/settings.go
@@ -73,7 +73,7 @@
 		// Callers switch to other nodes after two failed checks, one second apart.
 		acceptFor: 3 * time.Second,
 		// Later requests are refused, so that the shutdown ends.
-		refuseAfter: 3500 * time.Millisecond,
+		refuseAfter: maxRefuseAfter,
 		stopAfter:   5 * time.Second,
 		// Other nodes are informed of a drain within this time; calls from those that
 		// are not are refused as not run.
@@ -117,11 +117,16 @@
 	return s
 }
 
+// maxRefuseAfter is the longest time after the start of a shutdown in which requests are
+// accepted. By then callers have switched to other nodes, after two failed checks one
+// second apart.
+const maxRefuseAfter = 3 * time.Second
+
 // WithGrace returns a copy with d as the time for a graceful shutdown: the gateway
 // accepts requests for a part of d, and stops waiting for open ones while there is
 // time for an orderly exit.
 func (s Settings) WithGrace(d time.Duration) Settings {
-	s.acceptFor, s.refuseAfter, s.stopAfter = d/2, d*7/12, d*10/12
+	s.acceptFor, s.refuseAfter, s.stopAfter = d/2, min(d/2, maxRefuseAfter), d*10/12
 	return s
 }
 
