wasabigateway: one goroutine receives from the stream of an attempt

Cause: the goroutine that writes the request to the worker reads the rest of the body from the link's stream; after an early response serveStream received from the same stream, and the indexes of its bufio.Reader left the buffer. At the entry, the connection's reader could likewise use its buffer while the rest of the body was read. Change: receiveRest is the stream's only receiver and passes the body on through a pipe; the rest of a caller's body is closed, and a pending read awaited, before its exchange ends.

--- a/internal/edge/wasabihttp/exchange.go
+++ b/internal/edge/wasabihttp/exchange.go
@@ -237,8 +237,10 @@
 		n, err = 0, ErrBodyLarge
 	}
 	if err != nil {
-		b.complete = err == io.EOF
-		b.once.Do(func() { close(b.done) })
+		b.once.Do(func() {
+			b.complete = err == io.EOF
+			close(b.done)
+		})
 	}
 	return n, err
 }
--- a/internal/traffic/wasabigateway/attempt.go
+++ b/internal/traffic/wasabigateway/attempt.go
@@ -29,7 +29,7 @@
 	length int64
 	// body is the complete body, or its first part when rest is set.
 	body []byte
-	rest io.Reader
+	rest io.ReadCloser
 }
 
 // outcome is the result of an attempt.
--- a/internal/traffic/wasabigateway/ingress.go
+++ b/internal/traffic/wasabigateway/ingress.go
@@ -62,6 +62,10 @@
 		return
 	}
 	defer g.heldBodyBytes.Add(-buffered)
+	if rest := q.attempt.rest; rest != nil {
+		// The connection's reader continues when the request has ended.
+		defer rest.Close()
+	}
 	out := g.runAttempts(ctx, q)
 	defer out.response.release()
 	if out.response != nil {
@@ -251,7 +255,7 @@
 	body := make([]byte, 0, size)
 	for {
 		if int64(len(body)) >= limit {
-			q.attempt.body, q.attempt.rest = body, src
+			q.attempt.body, q.attempt.rest = body, &callerBody{body: src, interrupt: q.x.StopBody}
 			return size, nil
 		}
 		if len(body) == cap(body) {
--- a/internal/traffic/wasabigateway/serve.go
+++ b/internal/traffic/wasabigateway/serve.go
@@ -49,39 +49,30 @@
 	}
 	callerCtx, cancel := context.WithCancel(g.ctx)
 	defer cancel()
-	closed := make(chan struct{})
-	if m.GetWhole() {
-		// Only the end of the stream may follow.
-		go func() {
-			defer close(closed)
-			var more wasabistandv1.CallFrame
-			_ = stream.Receive(&more)
-			cancel()
-			// The other node reads no further: a response that is being sent ends.
-			_ = stream.SetDeadline(expiredDeadline)
-		}()
-	} else {
-		close(closed)
-		a.rest = &frameReader{stream: stream, total: uint64(len(a.body))}
-	}
+	var body *io.PipeWriter
+	if !m.GetWhole() {
+		a.rest, body = io.Pipe()
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		receiveRest(stream, uint64(len(a.body)), body)
+		cancel()
+		// The other node reads no further: a response that is being sent ends.
+		_ = stream.SetDeadline(expiredDeadline)
+	}()
 	out := g.runLocal(callerCtx, a)
 	g.logAttempt("served", a, out)
-	if a.rest != nil {
-		// Nothing watches whether the other node still reads.
-		_ = stream.SetDeadline(time.Now().Add(a.deadline.Sub(g.now()) + g.settings.responseGrace + endTimeout))
-	}
 	g.sendOutcome(stream, out)
+	// The stream ends right after the response, unless the other node may still be
+	// sending the body: then it closes the stream when it has read the response.
+	deadline := expiredDeadline
 	if a.rest != nil {
-		_ = stream.SetDeadline(time.Now().Add(endTimeout))
-		var more wasabistandv1.CallFrame
-		for stream.Receive(&more) == nil {
-			continue
-		}
-		return
+		_ = a.rest.Close()
+		deadline = time.Now().Add(endTimeout)
 	}
-	// The stream ends right after the response, so the pending read is unblocked.
-	_ = stream.SetDeadline(expiredDeadline)
-	<-closed
+	_ = stream.SetDeadline(deadline)
+	<-ended
 }
 
 // sendOutcome sends the outcome of an attempt to the other node.
--- a/internal/traffic/wasabigateway/upstream.go
+++ b/internal/traffic/wasabigateway/upstream.go
@@ -121,7 +121,7 @@
 	r := &http.Request{Method: a.method, URL: u, Host: a.host, Header: h, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
 	switch {
 	case a.rest != nil:
-		r.Body, r.ContentLength = io.NopCloser(io.MultiReader(bytes.NewReader(a.body), a.rest)), a.length
+		r.Body, r.ContentLength = newRequestBody(a.body, a.rest), a.length
 	case len(a.body) > 0 || a.length > 0:
 		r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(a.body)), int64(len(a.body))
 	}
