wasabicontrol: sessions are sent the revision that is recorded for them

Cause: pushConfigurations loaded the group's configuration for each session and sent the frame made for the first one; a revision that was published while the loop ran was recorded for the later sessions and never sent to them. Change: a push takes the configuration of a group once, as one value with the frames made from it.

--- a/wasabicontrol/control_test.go
+++ b/wasabicontrol/control_test.go
@@ -229,6 +229,25 @@
 	}
 }
 
+// Guards against sessions that are recorded as having a revision of which they were sent
+// an earlier one, when further revisions are committed while one is sent.
+func TestBurstOfChangesReachesManySessions(t *testing.T) {
+	c := newCluster(t, 1, 0, nil)
+	revision := c.mustApply("control-1", 0, "first", "1s")
+	var nodes []*node
+	for k := range 200 {
+		nodes = append(nodes, c.node(fmt.Sprintf("reports-%d", k), "reports", 1, c.ids...))
+	}
+	for round := range 12 {
+		for k := range 10 {
+			revision = c.mustApply("control-1", revision, fmt.Sprintf("change-%d-%d", round, k), fmt.Sprintf("%ds", 1+k))
+		}
+		for _, n := range nodes {
+			n.await(t, "last revision of the burst", atLeast(revision))
+		}
+	}
+}
+
 // incompressible returns n hexadecimal digits, which take half of n bytes compressed.
 func incompressible(n int) string {
 	b := make([]byte, n/2)
--- a/wasabicontrol/hub.go
+++ b/wasabicontrol/hub.go
@@ -340,27 +340,46 @@
 	h.wait.Go(func() { s.out.finish(nil, refusalTimeout) })
 }
 
+// configurationPush is a configuration with the frames made from it. A push sends all
+// sessions of a group the same one, also if the state machine publishes another
+// meanwhile.
+type configurationPush struct {
+	configuration *configuration
+	// withDocument and withoutDocument are made when the first session needs them.
+	withDocument, withoutDocument *wasabistandv1.ControlFrame
+}
+
+// frame returns the frame for a session.
+func (p *configurationPush) frame(h *hub, s *session) *wasabistandv1.ControlFrame {
+	withDocument := p.configuration.documentRevision > s.documentRevision
+	f := &p.withoutDocument
+	if withDocument {
+		f = &p.withDocument
+	}
+	if *f == nil {
+		*f = h.configurationFrame(p.configuration, withDocument)
+	}
+	return *f
+}
+
 // pushConfigurations sends each session its group's configuration if it is newer
 // than the last one sent. With force it sends it to all sessions, since the frame
 // also contains the directory, which has changed.
 func (h *hub) pushConfigurations(force bool) {
-	frames := map[*group][2]*wasabistandv1.ControlFrame{}
+	pushes := map[*group]*configurationPush{}
 	for s := range h.sessions {
-		c := s.group.machine.current.Load()
-		if c.revision <= s.revision && !force {
-			continue
+		p := pushes[s.group]
+		if p == nil {
+			p = &configurationPush{configuration: s.group.machine.current.Load()}
+			pushes[s.group] = p
 		}
-		pair := frames[s.group]
-		kind := 0
-		if c.documentRevision > s.documentRevision {
-			kind = 1
-		}
-		if pair[kind] == nil {
-			pair[kind] = h.configurationFrame(c, kind == 1)
-			frames[s.group] = pair
+		c := p.configuration
+		if c.revision < s.revision || c.revision == s.revision && !force {
+			continue
 		}
-		s.revision, s.documentRevision = max(s.revision, c.revision), max(s.documentRevision, c.documentRevision)
-		h.send(s, pair[kind])
+		f := p.frame(h, s)
+		s.revision, s.documentRevision = c.revision, max(s.documentRevision, c.documentRevision)
+		h.send(s, f)
 	}
 	h.instance.triggerConfigCopy()
 }
