wasabigateway: a stopping node refuses requests that wait before it ends

Cause: Shutdown returned after 5/6 of the grace time whatever was open. Nothing withdrew calls from queues, and an entry node can't know whether a call at another node has run. Change: after 2/3 of the grace time what still waits is refused as not run, at the node itself and, by a CallWithdrawal frame, at other nodes. Requests that run until 5/6 are answered with 502 before their connections close.

--- a/internal/traffic/wasabigateway/admission.go
+++ b/internal/traffic/wasabigateway/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -48,10 +49,7 @@
 		return admissionResult(t.ID, d)
 	case <-revoked:
 	case <-ctx.Done():
-		reason = wasabistand.ReasonDeadline
-		if q.now().Before(t.Deadline) {
-			reason = wasabistand.ReasonCancelled
-		}
+		reason = waitEndReason(ctx)
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -61,6 +59,22 @@
 	return 0, wasabistand.NewRefusal(reason, "while the call waited for a slot")
 }
 
+// errWithdrawn ends the wait of a call because the node at which it waits, or the one
+// at which it entered, stops.
+var errWithdrawn = Error.New("a node on the way stops")
+
+// waitEndReason returns the reason of a refusal when the context of a waiting call has
+// ended.
+func waitEndReason(ctx context.Context) wasabistand.Reason {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errWithdrawn):
+		return wasabistand.ReasonLeaving
+	case errors.Is(cause, context.DeadlineExceeded):
+		return wasabistand.ReasonDeadline
+	}
+	return wasabistand.ReasonCancelled
+}
+
 func admissionResult(id wasabistand.TicketID, d wasabistand.Decision) (wasabistand.TicketID, *wasabistand.Refusal) {
 	if d.Verdict == wasabistand.Admit {
 		return id, nil
--- a/internal/traffic/wasabigateway/body.go
+++ b/internal/traffic/wasabigateway/body.go
@@ -62,8 +62,9 @@
 
 // receiveRest receives what follows the first frame of an attempt until the stream
 // ends, and passes the body on to body, which is nil if no body follows. received is
-// the number of body bytes in the first frame. It is the only receiver of the stream.
-func receiveRest(stream *wasabilink.Stream, received uint64, body *io.PipeWriter) {
+// the number of body bytes in the first frame. It calls withdraw when the sender no
+// longer wants the attempt to start. It is the only receiver of the stream.
+func receiveRest(stream *wasabilink.Stream, received uint64, body *io.PipeWriter, withdraw func()) {
 	for {
 		var frame wasabistandv1.CallFrame
 		if err := stream.Receive(&frame); err != nil {
@@ -72,8 +73,12 @@
 			}
 			return
 		}
+		if frame.GetWithdrawal() != nil {
+			withdraw()
+			continue
+		}
 		if body == nil {
-			// Only the end of the stream may follow a body that is whole.
+			// No other frame may follow a body that is whole.
 			return
 		}
 		switch k := frame.Kind.(type) {
--- a/internal/traffic/wasabigateway/gateway.go
+++ b/internal/traffic/wasabigateway/gateway.go
@@ -90,7 +90,10 @@
 	started time.Time
 	ctx     context.Context
 	cancel  context.CancelFunc
-	wait    sync.WaitGroup
+	// waitCtx ends when a stopping gateway refuses the requests that wait.
+	waitCtx  context.Context
+	endWaits context.CancelFunc
+	wait     sync.WaitGroup
 }
 
 // New checks the settings and returns a gateway that has not started.
@@ -103,6 +106,7 @@
 	}
 	g := &Gateway{settings: s, parts: p, log: p.Log, splitSequences: map[string]*wasabimatch.QuasiRandom{}, instances: map[string][]wasabistand.Instance{}, started: p.Now()}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
+	g.waitCtx, g.endWaits = context.WithCancel(g.ctx)
 	g.requestLog = newRequestLog(p.Log, p.Now)
 	g.placer = wasabiplace.New(p.Place, s.location, p.Random)
 	g.budget = wasabibudget.New(wasabibudget.NewOptions(s.budgetWindow, s.budgetRatio))
@@ -220,13 +224,19 @@
 // omitted it.
 func (g *Gateway) Deregister(id string, born uint64) { g.local.deregister(id, born) }
 
-// idlePollInterval is the interval at which a stopping gateway checks whether all
-// requests have ended.
-const idlePollInterval = 50 * time.Millisecond
+const (
+	// idlePollInterval is the interval at which a stopping gateway checks whether all
+	// requests have ended.
+	idlePollInterval = 50 * time.Millisecond
+	// lastResponsesTimeout bounds the writing of responses to the requests that a
+	// stopping gateway ends.
+	lastResponsesTimeout = 250 * time.Millisecond
+)
 
 // Shutdown announces that the node leaves, serves requests that still arrive for a
-// limited time, and returns once none is open or the time for the shutdown has
-// passed.
+// limited time, refuses those that still wait after a longer time, and returns once
+// none is open or the time for the shutdown has passed. Requests that run until then
+// are answered with an unknown outcome.
 func (g *Gateway) Shutdown(ctx context.Context) {
 	started := g.now()
 	g.stoppingSince.Store(started.UnixNano())
@@ -250,13 +260,35 @@
 			g.links.GoAway("stopping")
 			g.server.CloseIdle()
 		}
-		if g.remoteAttempts.Load() == 0 && g.ingressRequests.Load() == 0 || since >= g.settings.stopAfter {
+		if since >= g.settings.withdrawAfter {
+			g.endWaits()
+		}
+		if g.isIdle() || since >= g.settings.stopAfter {
 			g.log.Info().Int64("Running", g.remoteAttempts.Load()).Int64("Entering", g.ingressRequests.Load()).Msg("gateway stops")
+			g.cancel()
+			g.awaitLastResponses(ctx, t.C)
+			return
+		}
+	}
+}
+
+// awaitLastResponses waits a short time until the requests that were ended have their
+// responses. ticks are the times at which it checks.
+func (g *Gateway) awaitLastResponses(ctx context.Context, ticks <-chan time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, lastResponsesTimeout)
+	defer cancel()
+	for !g.isIdle() {
+		select {
+		case <-ctx.Done():
 			return
+		case <-ticks:
 		}
 	}
 }
 
+// isIdle reports whether no request is open.
+func (g *Gateway) isIdle() bool { return g.remoteAttempts.Load() == 0 && g.ingressRequests.Load() == 0 }
+
 // Close closes all connections and waits for their goroutines.
 func (g *Gateway) Close() error {
 	g.cancel()
--- a/internal/traffic/wasabigateway/link.go
+++ b/internal/traffic/wasabigateway/link.go
@@ -22,13 +22,16 @@
 var chunkPool = sync.Pool{New: func() any { b := make([]byte, chunkBytes); return &b }}
 
 // sendToNode sends an attempt to the node next to an instance and returns its
-// outcome.
-func (g *Gateway) sendToNode(ctx context.Context, address string, a *attempt) outcome {
+// outcome. The end of waitCtx, which is derived from ctx, asks that node to refuse the
+// attempt if it still waits.
+func (g *Gateway) sendToNode(ctx, waitCtx context.Context, address string, a *attempt) outcome {
 	ctx, cancel := context.WithDeadline(ctx, a.deadline.Add(g.settings.responseGrace))
-	link, err := g.pool.Get(ctx, address)
+	dialCtx, cancelDial := context.WithDeadline(waitCtx, a.deadline.Add(g.settings.responseGrace))
+	defer cancelDial()
+	link, err := g.pool.Get(dialCtx, address)
 	if err != nil {
 		cancel()
-		return notSentOutcome(ctx, err)
+		return notSentOutcome(dialCtx, err)
 	}
 	stream, sent, err := link.OpenWith(ctx, wasabistandv1.StreamOpen_KIND_ROUTED, &wasabistandv1.CallFrame{Kind: &wasabistandv1.CallFrame_Start{Start: g.startMessage(a)}})
 	if err != nil {
@@ -39,7 +42,11 @@
 		return noResponseOutcome(ctx, err)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(expiredDeadline) })
+	stopWithdrawal := context.AfterFunc(waitCtx, func() {
+		_ = stream.Send(&wasabistandv1.CallFrame{Kind: &wasabistandv1.CallFrame_Withdrawal{Withdrawal: &wasabistandv1.CallWithdrawal{}}})
+	})
 	closeStream := func() {
+		stopWithdrawal()
 		stop()
 		cancel()
 		_ = stream.Close()
@@ -48,6 +55,7 @@
 		g.background(func() { sendBody(stream, a.rest) })
 	}
 	out, complete := g.receiveResponse(ctx, stream, closeStream)
+	stopWithdrawal()
 	if complete && a.rest == nil {
 		// The other node has nothing left to do for the request.
 		stream.Finish()
@@ -64,7 +72,7 @@
 		return notRunOutcome(wasabistand.ReasonDeadline, "the patience ended before the instance was reached")
 	}
 	if ctx.Err() != nil {
-		return notRunOutcome(wasabistand.ReasonCancelled, "the caller went away before the instance was reached")
+		return notRunOutcome(waitEndReason(ctx), "before the instance was reached")
 	}
 	out := notRunOutcome(wasabistand.ReasonConnect, err.Error())
 	out.faulty, out.unreachable = true, true
@@ -79,7 +87,7 @@
 		out.faulty = true
 		return out
 	case ctx.Err() != nil:
-		return unknownOutcome(wasabistand.ReasonCancelled, "the caller went away")
+		return unknownOutcome(wasabistand.ReasonCancelled, "the caller went away, or the node stopped")
 	}
 	out := unknownOutcome(wasabistand.ReasonLinkLost, err.Error())
 	out.faulty, out.unreachable = true, true
--- a/internal/traffic/wasabigateway/retry.go
+++ b/internal/traffic/wasabigateway/retry.go
@@ -13,6 +13,8 @@
 // runAttempts sends a request to one instance after another until one responds or
 // no further attempt is allowed.
 func (g *Gateway) runAttempts(ctx context.Context, q *request) outcome {
+	waitCtx, cancel := g.whileWaiting(ctx)
+	defer cancel()
 	last := outcome{}
 	// upstreamFailure is an error response of an upstream. It is returned if no other
 	// instance gives a better response.
@@ -32,9 +34,9 @@
 		a.number = len(q.tried)
 		var out outcome
 		if choice.ID == g.settings.instance {
-			out = g.runLocal(ctx, &a)
+			out = g.runLocal(ctx, waitCtx, &a)
 		} else {
-			out = g.sendToNode(ctx, choice.LinkAddress, &a)
+			out = g.sendToNode(ctx, waitCtx, choice.LinkAddress, &a)
 		}
 		g.recordResult(q, choice, out)
 		if out.response != nil && !g.canRetryFailure(ctx, q, out) {
@@ -166,7 +168,7 @@
 	r := out.refusal
 	now := g.now()
 	switch {
-	case ctx.Err() != nil, !now.Before(q.deadline), q.attempt.rest != nil && out.arrived:
+	case ctx.Err() != nil, g.waitCtx.Err() != nil, !now.Before(q.deadline), q.attempt.rest != nil && out.arrived:
 		return false
 	case r.Outcome != wasabistand.NotRun && !q.attempt.retryable:
 		return false
--- a/internal/traffic/wasabigateway/settings.go
+++ b/internal/traffic/wasabigateway/settings.go
@@ -49,6 +49,7 @@
 	budgetRatio         float64
 	acceptFor           time.Duration
 	refuseAfter         time.Duration
+	withdrawAfter       time.Duration
 	stopAfter           time.Duration
 	drainGrace          time.Duration
 	maxBufferedBody     int64
@@ -74,7 +75,9 @@
 		acceptFor: 3 * time.Second,
 		// Later requests are refused, so that the shutdown ends.
 		refuseAfter: maxRefuseAfter,
-		stopAfter:   5 * time.Second,
+		// Requests that still wait are refused while there is time for others to end.
+		withdrawAfter: 4 * time.Second,
+		stopAfter:     5 * time.Second,
 		// Other nodes are informed of a drain within this time; calls from those that
 		// are not are refused as not run.
 		drainGrace: time.Second,
@@ -123,10 +126,10 @@
 const maxRefuseAfter = 3 * time.Second
 
 // WithGrace returns a copy with d as the time for a graceful shutdown: the gateway
-// accepts requests for a part of d, and stops waiting for open ones while there is
-// time for an orderly exit.
+// accepts requests for a part of d, then refuses those that still wait, and stops
+// waiting for those that run while there is time for an orderly exit.
 func (s Settings) WithGrace(d time.Duration) Settings {
-	s.acceptFor, s.refuseAfter, s.stopAfter = d/2, min(d/2, maxRefuseAfter), d*10/12
+	s.acceptFor, s.refuseAfter, s.withdrawAfter, s.stopAfter = d/2, min(d/2, maxRefuseAfter), d*8/12, d*10/12
 	return s
 }
 
--- a/internal/traffic/wasabigateway/shutdown_test.go
+++ b/internal/traffic/wasabigateway/shutdown_test.go
@@ -55,3 +55,49 @@
 		assert.DeepEqual(t, u.seen(), []string{"1"})
 	}
 }
+
+// Guards against a stop that cuts the connections of requests that wait for a slot, at
+// the node that stops or at another one, and of those that still run when it ends.
+func TestStopAnswersOpenRequests(t *testing.T) {
+	for _, place := range []string{"own node", "other node"} {
+		t.Run(place, func(t *testing.T) {
+			k, c := newControl(configuration(time.Minute)), &clock{}
+			started, release := make(chan struct{}, 8), make(chan struct{})
+			defer close(release)
+			u := newUpstream(t, "i", func(r *http.Request, body string) string {
+				started <- struct{}{}
+				<-release
+				return echoResponse(r, body)
+			})
+			settings := func(name, service, upstream string) wasabigateway.Settings {
+				return wasabigateway.NewSettings(name, service, upstream).WithLocation(wasabistand.Location{Region: "r", FailureDomain: "d"}).WithGrace(6 * time.Second)
+			}
+			target := startNodeAt(t, k, settings("target", "s", u.address), "target", c.now)
+			target.sendHeartbeat(t, k, u, "s", 1)
+			entry := target
+			if place == "other node" {
+				entry = startNodeAt(t, k, settings("entry", "t", "127.0.0.1:1"), "entry", c.now)
+			}
+			running, waiting := make(chan reply, 1), make(chan reply, 1)
+			go func() { running <- entry.call(t, http.MethodPost, "/book/x", "1", "") }()
+			<-started
+			go func() { waiting <- entry.call(t, http.MethodPost, "/book/x", "2", "") }()
+			for target.Load().Waiting != 1 {
+				runtime.Gosched()
+			}
+			stopped := make(chan struct{})
+			go func() { defer close(stopped); entry.Shutdown(t.Context()) }()
+			for entry.Ready() {
+				runtime.Gosched()
+			}
+			c.advance(4100 * time.Millisecond)
+			a := <-waiting
+			assert.Equal(t, a.status, 503)
+			assert.Assert(t, a.header.Get("Retry-After") != "")
+			c.advance(time.Second)
+			assert.Equal(t, (<-running).status, 502)
+			<-stopped
+			assert.DeepEqual(t, u.seen(), []string{"1"})
+		})
+	}
+}
