wasabigateway: both ends count the whole body of an upload

Cause: sendBody counted the bytes after the part in the first frame, and the receiver the whole body, so the receiver took the end for a break and the worker waited for the rest. Evidence: TestLongUploadToOtherNode on the code before gets 504 for all 8 uploads.

--- a/internal/traffic/wasabigateway/link.go
+++ b/internal/traffic/wasabigateway/link.go
@@ -52,7 +52,7 @@
 		_ = stream.Close()
 	}
 	if a.rest != nil {
-		g.background(func() { sendBody(stream, a.rest) })
+		g.background(func() { sendBody(stream, uint64(len(a.body)), a.rest) })
 	}
 	out, complete := g.receiveResponse(ctx, stream, closeStream)
 	stopWithdrawal()
@@ -105,24 +105,24 @@
 	}
 }
 
-// sendBody sends the remainder of a body in frames until its end.
-func sendBody(stream *wasabilink.Stream, body io.Reader) {
+// sendBody sends the remainder of a body in frames until its end. bodyBytes is the
+// number of bytes of the body that the first frame had.
+func sendBody(stream *wasabilink.Stream, bodyBytes uint64, body io.Reader) {
 	p := chunkPool.Get().(*[]byte)
 	defer chunkPool.Put(p)
 	frame := &wasabistandv1.CallFrame_Body{}
 	message := &wasabistandv1.CallFrame{Kind: frame}
-	var total uint64
 	for {
 		n, err := body.Read(*p)
 		if n > 0 {
-			total += uint64(n)
+			bodyBytes += uint64(n)
 			frame.Body = (*p)[:n]
 			if stream.Send(message) != nil {
 				return
 			}
 		}
 		if err == io.EOF {
-			_ = stream.Send(endFrame(total, nil))
+			_ = stream.Send(endFrame(bodyBytes, nil))
 			return
 		}
 		if err != nil {
@@ -133,8 +133,8 @@
 	}
 }
 
-func endFrame(bytes uint64, l *wasabistand.Load) *wasabistandv1.CallFrame {
-	e := &wasabistandv1.CallEnd{BodyBytes: bytes}
+func endFrame(bodyBytes uint64, l *wasabistand.Load) *wasabistandv1.CallFrame {
+	e := &wasabistandv1.CallEnd{BodyBytes: bodyBytes}
 	if l != nil {
 		e.Load = wasabiwire.FromLoad(*l)
 	}
