wasabiinstance: a report without its start hides no drain

Cause: a check-in of another sender with fields missing was taken for the worker's. Its high sequence made all later reports of the worker stale, and stale reports are acknowledged, also the one of the drain.

--- a/internal/policy/wasabiinstance/instance.go
+++ b/internal/policy/wasabiinstance/instance.go
@@ -47,6 +47,8 @@
 	// alone does not suffice: it may be superseded by a drain that this node lost
 	// in a restart.
 	Confirmed bool
+	// Deregistered is set once the instance deregistered.
+	Deregistered bool
 	// Lifetime is the number of the incarnation, counted from the node's start.
 	Lifetime int
 	// ReportedAt is when the latest report was received.
@@ -90,14 +92,21 @@
 			t.startIncarnation(now, r)
 			return nil
 		}
+		if r.Sequence <= t.state.Sequence {
+			if r.Leaving && !t.state.Leaving {
+				// A drain is final, so that it holds whenever it arrives.
+				t.recordDrain(now)
+				return nil
+			}
+			return ErrStale.New("sequence: %d, report %d was already received", r.Sequence, t.state.Sequence)
+		}
 		if t.state.Leaving && !r.Leaving {
 			return ErrStale.New("instance %q already reported that it is leaving", r.ID)
 		}
-		since := t.state.LeavingSince
-		if r.Leaving && !t.state.Leaving {
-			since = now
+		if r.Leaving {
+			t.recordDrain(now)
 		}
-		t.state.Report, t.state.ReportedAt, t.state.LeavingSince = r, now, since
+		t.state.Report, t.state.ReportedAt = r, now
 		t.state.coldUntil = now.Add(r.ColdRemaining)
 		return nil
 	}
@@ -121,22 +130,31 @@
 	return nil
 }
 
-// startsIncarnation reports whether a report is the first of a new incarnation. The
-// error is of class ErrStale.
+// recordDrain records that the instance leaves.
+func (t *Tracker) recordDrain(now time.Time) {
+	if !t.state.Leaving {
+		t.state.Leaving, t.state.LeavingSince = true, now
+	}
+}
+
+// startsIncarnation reports whether a report is the first of a new incarnation. An
+// instance gives its start in all reports or in none, so that those without one are of
+// another sender if others had it. The error is of class ErrStale for a report of an
+// earlier incarnation, and of class wasabistand.ErrInvalid for one of another sender.
 func (t *Tracker) startsIncarnation(r Report) (bool, error) {
 	s := &t.state
 	switch {
+	case r.Born == 0 && s.Born != 0:
+		return false, wasabistand.ErrInvalid.New("born: missing, the instance started at %d", s.Born)
+	case r.Born != 0 && s.Born == 0 && !s.Deregistered:
+		return true, nil
 	case r.Born != 0 && s.Born != 0 && r.Born != s.Born:
 		if r.Born < s.Born {
 			return false, ErrStale.New("born: %d, a newer incarnation started at %d", r.Born, s.Born)
 		}
 		return true, nil
-	case r.ID != s.ID:
-		return true, nil
-	case r.Sequence <= s.Sequence:
-		return false, ErrStale.New("sequence: %d, report %d was already received", r.Sequence, s.Sequence)
 	}
-	return false, nil
+	return r.ID != s.ID, nil
 }
 
 // startIncarnation replaces the state by that of a new incarnation.
@@ -153,16 +171,14 @@
 	s := &t.state
 	if !s.Known {
 		// Keep the deregistration, so that a late heartbeat does not revoke it.
-		t.state = State{Report: Report{ID: id, Born: born, Leaving: true, Service: t.service, Sequence: ^uint64(0)}, Known: true, Lifetime: 1, ReportedAt: now, LeavingSince: now}
+		t.state = State{Report: Report{ID: id, Born: born, Leaving: true, Service: t.service, Sequence: ^uint64(0)}, Known: true, Deregistered: true, Lifetime: 1, ReportedAt: now, LeavingSince: now}
 		return true
 	}
 	if s.ID != id || born != 0 && s.Born != 0 && born != s.Born {
 		return false
 	}
-	if !s.Leaving {
-		s.Leaving, s.LeavingSince = true, now
-	}
-	s.Sequence = ^uint64(0)
+	t.recordDrain(now)
+	s.Sequence, s.Deregistered = ^uint64(0), true
 	return true
 }
 
@@ -176,9 +192,7 @@
 		t.state.Confirmed = true
 		return
 	}
-	if !t.state.Leaving {
-		t.state.Leaving, t.state.LeavingSince = true, now
-	}
+	t.recordDrain(now)
 }
 
 // String returns the instance's ID and lifetime.
--- a/internal/policy/wasabiinstance/instance_test.go
+++ b/internal/policy/wasabiinstance/instance_test.go
@@ -70,6 +70,42 @@
 	assert.Assert(t, !tracker.State().Leaving)
 }
 
+// Guards against a drain that is acknowledged and not heeded, because another sender has
+// reported the instance with a higher sequence and without its start.
+func TestReportOfOtherSenderHidesNoDrain(t *testing.T) {
+	now := time.Unix(1, 0)
+	report := func(born, sequence uint64, leaving bool) wasabiinstance.Report {
+		return wasabiinstance.Report{ID: "i", Born: born, Sequence: sequence, Service: "s", Address: "10.0.0.1:80", Slots: 3, Leaving: leaving}
+	}
+	odd := report(0, 1_000_000, false)
+	t.Run("after the instance's", func(t *testing.T) {
+		tracker := wasabiinstance.New("s", "10.0.0.1:80")
+		assert.NilError(t, tracker.Heartbeat(now, report(5, 3, false)))
+		tracker.Confirm(now, tracker.State().Lifetime, true)
+		assert.Assert(t, wasabistand.ErrInvalid.Has(tracker.Heartbeat(now, odd)))
+		other := odd
+		other.ID = "j"
+		assert.Assert(t, wasabistand.ErrInvalid.Has(tracker.Heartbeat(now, other)))
+		assert.Assert(t, tracker.State().AcceptsCalls())
+		assert.NilError(t, tracker.Heartbeat(now, report(5, 4, true)))
+		assert.Assert(t, tracker.State().Leaving)
+	})
+	t.Run("before the instance's", func(t *testing.T) {
+		tracker := wasabiinstance.New("s", "10.0.0.1:80")
+		assert.NilError(t, tracker.Heartbeat(now, odd))
+		assert.NilError(t, tracker.Heartbeat(now, report(5, 3, false)))
+		assert.NilError(t, tracker.Heartbeat(now, report(5, 4, true)))
+		assert.Assert(t, tracker.State().Leaving)
+	})
+	t.Run("late drain", func(t *testing.T) {
+		tracker := wasabiinstance.New("s", "10.0.0.1:80")
+		assert.NilError(t, tracker.Heartbeat(now, report(5, 9, false)))
+		assert.NilError(t, tracker.Heartbeat(now, report(5, 4, true)))
+		assert.Assert(t, tracker.State().Leaving)
+		assert.Assert(t, wasabiinstance.ErrStale.Has(tracker.Heartbeat(now, report(5, 10, false))))
+	})
+}
+
 // Guards against a node that restarts, has lost the instance's drain and trusts a
 // late heartbeat.
 func TestRestartedNodeConfirmsBeforeSendingWork(t *testing.T) {
