wasabigateway: withdraw calls without contexts for each request

Change: queues watch channels of the gateway and of the attempt; the server cancels its exchanges at the end of a stop.

--- a/internal/edge/wasabihttp/server.go
+++ b/internal/edge/wasabihttp/server.go
@@ -128,6 +128,10 @@
 	return len(s.conns)
 }
 
+// Cancel ends the contexts of all exchanges, whose connections stay open for their
+// responses. No further connection is accepted.
+func (s *Server) Cancel() { s.cancel() }
+
 // Close closes all connections and waits for their goroutines.
 func (s *Server) Close() error {
 	s.cancel()
--- a/internal/traffic/wasabigateway/admission.go
+++ b/internal/traffic/wasabigateway/admission.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -29,8 +28,28 @@
 	return q
 }
 
-// acquire waits until a call may run. Closing revoked ends the wait.
-func (q *admissionQueue) acquire(ctx context.Context, revoked <-chan struct{}, t wasabistand.Ticket) (wasabistand.TicketID, *wasabistand.Refusal) {
+// waitEnds are channels of which each, when it is closed, ends the wait of a call: it
+// must not be sent any more. Nil channels are never closed.
+type waitEnds struct {
+	// revoked is closed when the instance leaves, stopping when this node refuses what
+	// waits, and withdrawn when the node does at which the call entered.
+	revoked, stopping, withdrawn <-chan struct{}
+}
+
+// haveEnded reports whether one of the channels is closed.
+func (w waitEnds) haveEnded() bool {
+	select {
+	case <-w.revoked:
+	case <-w.stopping:
+	case <-w.withdrawn:
+	default:
+		return false
+	}
+	return true
+}
+
+// acquire waits until a call may run.
+func (q *admissionQueue) acquire(ctx context.Context, ends waitEnds, t wasabistand.Ticket) (wasabistand.TicketID, *wasabistand.Refusal) {
 	decided := make(chan wasabistand.Decision, 1)
 	q.mu.Lock()
 	q.nextID++
@@ -47,9 +66,14 @@
 	select {
 	case d := <-decided:
 		return admissionResult(t.ID, d)
-	case <-revoked:
+	case <-ends.revoked:
+	case <-ends.stopping:
+	case <-ends.withdrawn:
 	case <-ctx.Done():
-		reason = waitEndReason(ctx)
+		reason = wasabistand.ReasonDeadline
+		if q.now().Before(t.Deadline) {
+			reason = wasabistand.ReasonCancelled
+		}
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -59,22 +83,6 @@
 	return 0, wasabistand.NewRefusal(reason, "while the call waited for a slot")
 }
 
-// errWithdrawn ends the wait of a call because the node at which it waits, or the one
-// at which it entered, stops.
-var errWithdrawn = Error.New("a node on the way stops")
-
-// waitEndReason returns the reason of a refusal when the context of a waiting call has
-// ended.
-func waitEndReason(ctx context.Context) wasabistand.Reason {
-	switch cause := context.Cause(ctx); {
-	case errors.Is(cause, errWithdrawn):
-		return wasabistand.ReasonLeaving
-	case errors.Is(cause, context.DeadlineExceeded):
-		return wasabistand.ReasonDeadline
-	}
-	return wasabistand.ReasonCancelled
-}
-
 func admissionResult(id wasabistand.TicketID, d wasabistand.Decision) (wasabistand.TicketID, *wasabistand.Refusal) {
 	if d.Verdict == wasabistand.Admit {
 		return id, nil
--- a/internal/traffic/wasabigateway/attempt.go
+++ b/internal/traffic/wasabigateway/attempt.go
@@ -30,6 +30,9 @@
 	// body is the complete body, or its first part when rest is set.
 	body []byte
 	rest io.ReadCloser
+	// withdrawn is closed when the node that sent the attempt wants it refused unless it
+	// runs, nil for an attempt of this node.
+	withdrawn <-chan struct{}
 }
 
 // outcome is the result of an attempt.
--- a/internal/traffic/wasabigateway/body.go
+++ b/internal/traffic/wasabigateway/body.go
@@ -113,9 +113,9 @@
 
 // receiveRest receives what follows the first frame of an attempt until the stream
 // ends, and passes the body on to body, which is nil if no body follows. received is
-// the number of body bytes in the first frame. It calls withdraw when the sender no
+// the number of body bytes in the first frame. It closes withdrawn when the sender no
 // longer wants the attempt to start. It is the only receiver of the stream.
-func receiveRest(stream *wasabilink.Stream, received uint64, body *io.PipeWriter, withdraw func()) {
+func receiveRest(stream *wasabilink.Stream, received uint64, body *io.PipeWriter, withdrawn chan<- struct{}) {
 	for {
 		var frame wasabistandv1.CallFrame
 		if err := stream.Receive(&frame); err != nil {
@@ -125,7 +125,10 @@
 			return
 		}
 		if frame.GetWithdrawal() != nil {
-			withdraw()
+			if withdrawn != nil {
+				close(withdrawn)
+				withdrawn = nil
+			}
 			continue
 		}
 		if body == nil {
--- a/internal/traffic/wasabigateway/gateway.go
+++ b/internal/traffic/wasabigateway/gateway.go
@@ -266,6 +266,7 @@
 		if g.isIdle() || since >= g.settings.stopAfter {
 			g.log.Info().Int64("Running", g.remoteAttempts.Load()).Int64("Entering", g.ingressRequests.Load()).Msg("gateway stops")
 			g.cancel()
+			g.server.Cancel()
 			g.awaitLastResponses(ctx, t.C)
 			return
 		}
--- a/internal/traffic/wasabigateway/ingress.go
+++ b/internal/traffic/wasabigateway/ingress.go
@@ -49,10 +49,6 @@
 func (g *Gateway) handleRequest(ctx context.Context, x *wasabihttp.Exchange) {
 	g.ingressRequests.Add(1)
 	defer g.ingressRequests.Add(-1)
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	stop := context.AfterFunc(g.ctx, cancel)
-	defer stop()
 	q := &request{x: x, id: x.Request.Header.Get(g.settings.headers.RequestID)}
 	if status, refusal := g.prepare(ctx, q); refusal != nil {
 		g.writeRefusal(q, status, refusal)
@@ -236,16 +232,6 @@
 	}
 }
 
-// whileWaiting returns a context for the time in which a request waits, which ends with
-// ctx, when cancel is called, and when a stopping gateway refuses the requests that
-// wait.
-func (g *Gateway) whileWaiting(ctx context.Context) (waitCtx context.Context, cancel func()) {
-	waitCtx, cancelCause := context.WithCancelCause(ctx)
-	withdraw := func() { cancelCause(errWithdrawn) }
-	stop := context.AfterFunc(g.waitCtx, withdraw)
-	return waitCtx, func() { stop(); withdraw() }
-}
-
 // bufferBody reads a body up to the buffer limit, so that a retry can send it
 // again. It returns the number of bytes that it added to heldBodyBytes.
 func (g *Gateway) bufferBody(ctx context.Context, q *request) (int64, *wasabistand.Refusal) {
--- a/internal/traffic/wasabigateway/link.go
+++ b/internal/traffic/wasabigateway/link.go
@@ -27,16 +27,14 @@
 var chunkPool = sync.Pool{New: func() any { b := make([]byte, chunkBytes); return &b }}
 
 // sendToNode sends an attempt to the node next to an instance and returns its
-// outcome. The end of waitCtx, which is derived from ctx, asks that node to refuse the
-// attempt if it still waits.
-func (g *Gateway) sendToNode(ctx, waitCtx context.Context, address string, a *attempt) outcome {
+// outcome. When the gateway stops, it asks that node to refuse the attempt if it still
+// waits.
+func (g *Gateway) sendToNode(ctx context.Context, address string, a *attempt) outcome {
 	ctx, cancel := context.WithDeadline(ctx, a.deadline.Add(g.settings.responseGrace))
-	dialCtx, cancelDial := context.WithDeadline(waitCtx, a.deadline.Add(g.settings.responseGrace))
-	defer cancelDial()
-	link, err := g.pool.Get(dialCtx, address)
+	link, err := g.pool.Get(ctx, address)
 	if err != nil {
 		cancel()
-		return notSentOutcome(dialCtx, err)
+		return notSentOutcome(ctx, err)
 	}
 	knowsContinue := link.Peer().CallVersion >= versionWithContinue
 	stream, sent, err := link.OpenWith(ctx, wasabistandv1.StreamOpen_KIND_ROUTED, &wasabistandv1.CallFrame{Kind: &wasabistandv1.CallFrame_Start{Start: g.startMessage(a, knowsContinue)}})
@@ -48,7 +46,7 @@
 		return noResponseOutcome(ctx, err)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(expiredDeadline) })
-	stopWithdrawal := context.AfterFunc(waitCtx, func() {
+	stopWithdrawal := context.AfterFunc(g.waitCtx, func() {
 		if knowsContinue {
 			_ = stream.Send(&wasabistandv1.CallFrame{Kind: &wasabistandv1.CallFrame_Withdrawal{Withdrawal: &wasabistandv1.CallWithdrawal{}}})
 		}
@@ -91,7 +89,7 @@
 		return notRunOutcome(wasabistand.ReasonDeadline, "the patience ended before the instance was reached")
 	}
 	if ctx.Err() != nil {
-		return notRunOutcome(waitEndReason(ctx), "before the instance was reached")
+		return notRunOutcome(wasabistand.ReasonCancelled, "the caller went away, or the node stopped, before the instance was reached")
 	}
 	out := notRunOutcome(wasabistand.ReasonConnect, err.Error())
 	out.faulty, out.unreachable = true, true
--- a/internal/traffic/wasabigateway/retry.go
+++ b/internal/traffic/wasabigateway/retry.go
@@ -13,8 +13,6 @@
 // runAttempts sends a request to one instance after another until one responds or
 // no further attempt is allowed.
 func (g *Gateway) runAttempts(ctx context.Context, q *request) outcome {
-	waitCtx, cancel := g.whileWaiting(ctx)
-	defer cancel()
 	last := outcome{}
 	// upstreamFailure is an error response of an upstream. It is returned if no other
 	// instance gives a better response.
@@ -37,9 +35,9 @@
 		}
 		var out outcome
 		if choice.ID == g.settings.instance {
-			out = g.runLocal(ctx, waitCtx, &a)
+			out = g.runLocal(ctx, &a)
 		} else {
-			out = g.sendToNode(ctx, waitCtx, choice.LinkAddress, &a)
+			out = g.sendToNode(ctx, choice.LinkAddress, &a)
 		}
 		g.recordResult(q, choice, out)
 		if out.response != nil && !g.canRetryFailure(ctx, q, out) {
--- a/internal/traffic/wasabigateway/serve.go
+++ b/internal/traffic/wasabigateway/serve.go
@@ -49,8 +49,8 @@
 	}
 	callerCtx, cancel := context.WithCancel(g.ctx)
 	defer cancel()
-	waitCtx, withdraw := g.whileWaiting(callerCtx)
-	defer withdraw()
+	withdrawn := make(chan struct{})
+	a.withdrawn = withdrawn
 	var body *io.PipeWriter
 	if !m.GetWhole() {
 		var r *io.PipeReader
@@ -65,12 +65,12 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		receiveRest(stream, uint64(len(a.body)), body, withdraw)
+		receiveRest(stream, uint64(len(a.body)), body, withdrawn)
 		cancel()
 		// The other node reads no further: a response that is being sent ends.
 		_ = stream.SetDeadline(expiredDeadline)
 	}()
-	out := g.runLocal(callerCtx, waitCtx, a)
+	out := g.runLocal(callerCtx, a)
 	g.logAttempt("served", a, out)
 	g.sendOutcome(stream, out)
 	// The stream ends right after the response, unless the other node may still be
--- a/internal/traffic/wasabigateway/upstream.go
+++ b/internal/traffic/wasabigateway/upstream.go
@@ -22,28 +22,28 @@
 
 // runLocal sends an attempt through the admission queue to the local upstream. The
 // end of callerCtx cancels a retryable call at any time, and any other call until
-// it is sent. The end of waitCtx, which is derived from callerCtx, refuses a call that
-// has not been sent.
-func (g *Gateway) runLocal(callerCtx, waitCtx context.Context, a *attempt) outcome {
+// it is sent. A call that was withdrawn, or waits when the gateway stops, is refused.
+func (g *Gateway) runLocal(callerCtx context.Context, a *attempt) outcome {
 	l, refusal := g.local.currentLease(a.service)
 	if refusal != nil {
 		return g.withLoad(outcome{refusal: refusal})
 	}
-	queueCtx, cancel := context.WithDeadline(waitCtx, a.deadline)
+	queueCtx, cancel := context.WithDeadline(callerCtx, a.deadline)
 	defer cancel()
-	id, refusal := g.queue.acquire(queueCtx, l.revoked, wasabistand.Ticket{
+	ends := waitEnds{revoked: l.revoked, stopping: g.waitCtx.Done(), withdrawn: a.withdrawn}
+	id, refusal := g.queue.acquire(queueCtx, ends, wasabistand.Ticket{
 		Caller: a.origin, Importance: a.importance, Deadline: g.queueDeadline(a), Cancellable: a.retryable,
 	})
 	if refusal != nil {
 		return g.withLoad(outcome{refusal: refusal})
 	}
-	if queueCtx.Err() != nil {
+	if ends.haveEnded() {
 		g.queue.release(id, 0)
-		return g.withLoad(notRunOutcome(waitEndReason(queueCtx), "before the call ran"))
+		return g.withLoad(notRunOutcome(wasabistand.ReasonLeaving, "the instance or a node left before the call ran"))
 	}
-	if l.isRevoked() || !g.now().Add(minRunTime).Before(a.deadline) {
+	if callerCtx.Err() != nil || !g.now().Add(minRunTime).Before(a.deadline) {
 		g.queue.release(id, 0)
-		return g.withLoad(notRunOutcome(wasabistand.ReasonDeadline, "the patience ended, or the instance left, before the call ran"))
+		return g.withLoad(notRunOutcome(wasabistand.ReasonDeadline, "the patience ended, or the caller left, before the call ran"))
 	}
 	callCtx, cancelCall := context.WithDeadline(context.WithoutCancel(callerCtx), a.deadline.Add(g.settings.responseGrace))
 	// A call that can't be retried continues after its caller has gone, but not
