wasabisession: the session alone owns the incarnation of a node

Cause: session and gateway each kept an incarnation. A stale refusal raised the session's by an hour; when the worker was confirmed the gateway raised its own by one, and the higher of the two was unchanged. Control refuses an instance that returns in the incarnation in which it left, at each attempt. Change: the session sets the incarnation, and continues above the one that control names in its refusal. Refusals carry a detail for the logs; wasabi_session_unconfirmed_seconds shows how long a node has been without.

--- a/instance.go
+++ b/instance.go
@@ -61,6 +61,12 @@
 	return i
 }
 
+// WithIncarnation returns a copy with incarnation n.
+func (i Instance) WithIncarnation(n uint64) Instance {
+	i.Incarnation = n
+	return i
+}
+
 // WithSequence returns a copy with announcement sequence number n.
 func (i Instance) WithSequence(n uint64) Instance {
 	i.Sequence = n
--- a/internal/process/wasabimesh/node.go
+++ b/internal/process/wasabimesh/node.go
@@ -83,8 +83,8 @@
 // Start implements wasabiprocess.Daemon.
 func (n *NodeDaemon) Start(context.Context) error {
 	s := n.settings
-	// The wall clock yields an incarnation that increases with each start and
-	// needs no disk.
+	// The wall clock yields an incarnation that mostly increases with each start and
+	// needs no disk. After a step of the clock, the session raises it.
 	incarnation := uint64(time.Now().UnixNano())
 	links := linkOptions(s.Cluster, s.Instance, incarnation, n.log)
 	registry := prometheus.NewRegistry()
@@ -98,19 +98,22 @@
 		return errors.Join(err, link.Close())
 	}
 	n.gateway, err = wasabigateway.New(s.Gateway, wasabigateway.Parts{
-		Directory: directory{n}, Announce: func(i wasabistand.Instance) { n.session.Announce(i) },
+		Directory: directory{n}, Announce: func(i wasabistand.Instance, isNew bool) { n.session.Announce(i, isNew) },
 		Link: links, Listener: link, Callers: callers, Log: n.log,
 		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Place: wasabiplace.NewOptions(),
 		Admission: func(slots, queue int) wasabistand.Admission {
 			return wasabiadmission.New(wasabiadmission.NewOptions().WithLimit(slots).WithQueueLimit(queue))
 		},
-		Incarnation: incarnation, Registerer: registry,
+		Registerer: registry,
 	})
 	if err != nil {
 		return errors.Join(err, link.Close(), callers.Close())
 	}
 	n.pool = wasabilink.NewPool(links, nil)
-	n.session = wasabisession.New(sessionOptions(s.ControlAddresses), n.pool, n.gateway.InitialInstance(), recorder{n.log})
+	n.session = wasabisession.New(sessionOptions(s.ControlAddresses), n.pool, n.gateway.InitialInstance().WithIncarnation(incarnation), recorder{n.log})
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "wasabi_session_unconfirmed_seconds", Help: "Time for which no control instance has confirmed the session.",
+	}, func() float64 { return n.session.Unconfirmed().Seconds() }))
 	n.gateway.Start()
 	h := n.handlers(n.gateway)
 	for address, handler := range map[string]http.Handler{
--- a/internal/traffic/wasabigateway/edge_test.go
+++ b/internal/traffic/wasabigateway/edge_test.go
@@ -151,7 +151,7 @@
 	otherControl := newControl(configuration(time.Minute))
 	newNode(t, otherControl, "b", "s", serving.address).sendHeartbeat(t, otherControl, serving, "s", 5)
 	k.silent.Store(true)
-	k.announce(otherControl.View().Instances["s"][0])
+	k.announce(otherControl.View().Instances["s"][0], false)
 	assert.Equal(t, entry.call(t, http.MethodPost, "/book/x", "2", "").status, http.StatusOK)
 }
 
--- a/internal/traffic/wasabigateway/gateway.go
+++ b/internal/traffic/wasabigateway/gateway.go
@@ -25,8 +25,10 @@
 // Parts are the dependencies of a gateway.
 type Parts struct {
 	Directory wasabistand.Directory
-	// Announce reports the state of the node's instance to control.
-	Announce func(wasabistand.Instance)
+	// Announce reports the state of the node's instance to control. It sets the
+	// identity of the announcement. isNew is set if another upstream has taken the
+	// place of the one that was announced before.
+	Announce func(i wasabistand.Instance, isNew bool)
 	// Link are the options of the links to other nodes.
 	Link wasabilink.Options
 	// Listener accepts links from other nodes.
@@ -43,8 +45,6 @@
 	Admission func(slots, queue int) wasabistand.Admission
 	// Registerer registers the metrics; with nil they are not exported.
 	Registerer prometheus.Registerer
-	// Incarnation is the incarnation of the first announcement.
-	Incarnation uint64
 	// Now replaces the clock in tests.
 	Now func() time.Time
 }
@@ -112,7 +112,6 @@
 	g.budget = wasabibudget.New(wasabibudget.NewOptions(s.budgetWindow, s.budgetRatio))
 	g.queue = newAdmissionQueue(p.Now, p.Admission(1, s.queueLimit))
 	g.local = newLocalInstance(g, p.Log)
-	g.local.incarnation = p.Incarnation
 	g.local.lastAnnounced = g.InitialInstance()
 	g.server = wasabihttp.NewServer(g.handleRequest, wasabihttp.Limits{
 		MaxHeaderBytes: 16 << 10, MaxBodyBytes: 64 << 20, HeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute,
@@ -124,10 +123,10 @@
 }
 
 // InitialInstance returns the instance that the node announces before the first
-// heartbeat of its instance.
+// heartbeat of its instance. It has no incarnation.
 func (g *Gateway) InitialInstance() wasabistand.Instance {
 	return wasabistand.Instance{
-		ID: g.settings.instance, Incarnation: g.parts.Incarnation, Service: g.settings.service,
+		ID: g.settings.instance, Service: g.settings.service,
 		LinkAddress: g.settings.linkAddress, Location: g.settings.location,
 		Slots: 1, Connections: 1, State: wasabistand.Leaving,
 	}
--- a/internal/traffic/wasabigateway/gateway_test.go
+++ b/internal/traffic/wasabigateway/gateway_test.go
@@ -132,7 +132,7 @@
 func (k *control) String() string           { return "test" }
 
 // announce replaces an instance in the view.
-func (k *control) announce(i wasabistand.Instance) {
+func (k *control) announce(i wasabistand.Instance, _ bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.list = append(k.list, i)
@@ -196,7 +196,7 @@
 		s.WithHeaders(headers).WithLinkAddress(link.Addr().String()),
 		wasabigateway.Parts{
 			Directory: k, Announce: k.announce, Link: wasabilink.NewOptions("test", name, 1), Listener: link, Callers: callers,
-			Log: zerolog.Nop(), Random: rand.New(rand.NewPCG(1, 1)), Place: wasabiplace.NewOptions(), Incarnation: 1, Now: now,
+			Log: zerolog.Nop(), Random: rand.New(rand.NewPCG(1, 1)), Place: wasabiplace.NewOptions(), Now: now,
 			Admission: func(slots, queue int) wasabistand.Admission {
 				return wasabiadmission.New(wasabiadmission.NewOptions().WithLimit(slots).WithQueueLimit(queue))
 			},
--- a/internal/traffic/wasabigateway/local.go
+++ b/internal/traffic/wasabigateway/local.go
@@ -62,7 +62,6 @@
 	stopping         bool
 	unreachableSince time.Time // when the instance became unreachable, zero if it is reachable
 	lastAnnounced    wasabistand.Instance
-	incarnation      uint64
 	maxConns         int
 	healthPath       string
 }
@@ -297,11 +296,8 @@
 	if i == o.lastAnnounced {
 		return
 	}
-	if o.lastAnnounced.State == wasabistand.Leaving && i.State != wasabistand.Leaving || s.Lifetime > 1 && i.Slots != o.lastAnnounced.Slots {
-		o.incarnation++
-		i.Incarnation = o.incarnation
-	}
+	isNew := s.Lifetime > 1 && i.Slots != o.lastAnnounced.Slots
 	o.lastAnnounced = i
-	o.log.Info().Str("State", i.State.String()).Int("Slots", i.Slots).Uint64("Incarnation", i.Incarnation).Msg("announced")
-	o.gateway.parts.Announce(i)
+	o.log.Info().Str("State", i.State.String()).Int("Slots", i.Slots).Bool("New", isNew).Msg("announced")
+	o.gateway.parts.Announce(i, isNew)
 }
--- a/wasabicontrol/control_test.go
+++ b/wasabicontrol/control_test.go
@@ -48,7 +48,7 @@
 	assert.Equal(t, len(status.Msg.GetInstances()), 2)
 	assert.Equal(t, len(status.Msg.GetGroups()[0].GetMembers()), 3)
 
-	second.Announce(instance("archive-1", "archive", 1).WithState(wasabistand.Leaving))
+	second.Announce(instance("archive-1", "archive", 1).WithState(wasabistand.Leaving), false)
 	first.await(t, "leaving", func(v *wasabistand.View) bool {
 		return len(v.Instances["archive"]) == 0 || v.Instances["archive"][0].State == wasabistand.Leaving
 	})
--- a/wasabicontrol/hub.go
+++ b/wasabicontrol/hub.go
@@ -144,7 +144,7 @@
 		h.completeAt = now.Add(h.instance.settings.lease + time.Second)
 		for s := range h.sessions {
 			if s.group == g {
-				h.refuse(s, reasonNotConfirmed)
+				h.refuse(s, refusal{reason: reasonNotConfirmed})
 			}
 		}
 	}
@@ -198,22 +198,22 @@
 	return h.registry.IsWarmedUp(now) && !now.Before(h.completeAt)
 }
 
-// openSession adds a session after its group's quorum was confirmed. It returns
-// the reason if the session is refused, empty if it is served.
-func (h *hub) openSession(s *session, nodeRevision uint64, i wasabistand.Instance) string {
+// openSession adds a session after its group's quorum was confirmed. It returns a
+// refusal if the session is refused.
+func (h *hub) openSession(s *session, nodeRevision uint64, i wasabistand.Instance) refusal {
 	if h.stopping {
-		return reasonStopping
+		return refusal{reason: reasonStopping}
 	}
 	if len(h.sessions) >= h.instance.settings.maxSessions {
-		return reasonFull
+		return refusal{reason: reasonFull}
 	}
 	c := s.group.machine.current.Load()
 	if c.revision < nodeRevision {
 		// The node has a revision that was not copied to this group yet.
-		return reasonNotConfirmed
+		return refusal{reason: reasonNotConfirmed}
 	}
-	if reason := h.announce(s, i); reason != "" {
-		return reason
+	if r := h.announce(s, i); r.reason != "" {
+		return r
 	}
 	h.sessions[s] = struct{}{}
 	// The node already has the document of the revision that it started with.
@@ -221,29 +221,37 @@
 	f := h.configurationFrame(c, s.documentRevision < c.documentRevision)
 	s.revision, s.documentRevision = c.revision, max(s.documentRevision, c.documentRevision)
 	h.send(s, f)
-	return ""
+	return refusal{}
 }
 
-// announce records an announcement and returns the reason if it is refused.
-func (h *hub) announce(s *session, i wasabistand.Instance) string {
+// announce records an announcement and returns a refusal if it is refused.
+func (h *hub) announce(s *session, i wasabistand.Instance) refusal {
 	if s.id != "" && i.ID != s.id {
-		return "other-instance"
+		return refusal{reason: "other-instance"}
+	}
+	if err := h.registry.Announce(time.Now(), i); err != nil {
+		return h.announcementRefusal(i.ID, err)
 	}
-	err := h.registry.Announce(time.Now(), i)
+	s.id, s.incarnation, s.sequence, s.region = i.ID, i.Incarnation, i.Sequence, i.Location.Region
+	h.dirty = true
+	return refusal{}
+}
+
+// announcementRefusal returns the refusal for an error of the registry.
+func (h *hub) announcementRefusal(id string, err error) refusal {
+	r := refusal{reason: reasonBadAnnouncement, detail: err.Error()}
 	switch {
-	case err == nil:
 	case wasabimember.ErrDuplicate.Has(err):
-		return reasonDuplicate
-	case wasabimember.ErrStale.Has(err):
-		return "stale-announcement"
+		r.reason = reasonDuplicate
+		return r
 	case wasabimember.ErrFull.Has(err):
-		return reasonFull
-	default:
-		return "bad-announcement"
+		r.reason = reasonFull
+		return r
+	case wasabimember.ErrStale.Has(err):
+		r.reason = "stale-announcement"
 	}
-	s.id, s.incarnation, s.sequence, s.region = i.ID, i.Incarnation, i.Sequence, i.Location.Region
-	h.dirty = true
-	return ""
+	r.knownIncarnation, r.knownSequence = h.registry.Known(id)
+	return r
 }
 
 // renew renews a lease and returns the reason if the session must end.
@@ -262,7 +270,7 @@
 func (h *hub) setSubscriptions(s *session, m *wasabistandv1.Interest) {
 	versions := m.GetServices()
 	if len(versions) > maxSubscriptions {
-		h.refuse(s, "too-many-interests")
+		h.refuse(s, refusal{reason: "too-many-interests"})
 		return
 	}
 	for name := range s.subscriptions {
@@ -330,13 +338,13 @@
 
 // refuse ends a session and sends the reason, so that the node connects to
 // another control instance.
-func (h *hub) refuse(s *session, reason string) {
+func (h *hub) refuse(s *session, r refusal) {
 	if s.ending {
 		return
 	}
 	s.ending = true
-	h.instance.metrics.sessionsEnded.WithLabelValues(reason).Inc()
-	s.out.put(refusalFrame(reason))
+	h.instance.metrics.sessionsEnded.WithLabelValues(r.reason).Inc()
+	s.out.put(r.frame())
 	h.wait.Go(func() { s.out.finish(nil, refusalTimeout) })
 }
 
@@ -447,7 +455,7 @@
 func (h *hub) stopSessions() (list []*outbox) {
 	h.stopping = true
 	for s := range h.sessions {
-		h.refuse(s, reasonStopping)
+		h.refuse(s, refusal{reason: reasonStopping})
 		list = append(list, s.out)
 	}
 	return list
--- a/wasabicontrol/lifecycle_test.go
+++ b/wasabicontrol/lifecycle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"slices"
 	"sync/atomic"
@@ -102,3 +103,31 @@
 		assert.NilError(t, t.Context().Err())
 	}
 }
+
+// Guards against a node that control refuses until its next restart: it was started again
+// after its clock was set back, and its instance left and returned.
+func TestInstanceReturnsAfterClockWasSetBack(t *testing.T) {
+	c := newCluster(t, 1, 0, nil)
+	revision := c.mustApply("control-1", 0, "first", "1s")
+	observer := c.node("archive-1", "archive", 1, "control-1")
+	observer.Subscribe("reports")
+	state := func(s wasabistand.InstanceState) func(*wasabistand.View) bool {
+		return func(v *wasabistand.View) bool {
+			list := v.Instances["reports"]
+			return len(list) == 1 && list[0].State == s
+		}
+	}
+	ahead := c.node("reports-1", "reports", 1_000, "control-1")
+	ahead.await(t, "first revision", atLeast(revision))
+	ahead.close()
+	n := c.node("reports-1", "reports", 10, "control-1")
+	n.await(t, "first revision", atLeast(revision))
+	for range 3 {
+		n.Announce(instance("reports-1", "reports", 10).WithState(wasabistand.Leaving), false)
+		observer.await(t, "the instance leaves", func(v *wasabistand.View) bool { return !state(wasabistand.Ready)(v) })
+		n.Announce(instance("reports-1", "reports", 11), false)
+		observer.await(t, "the instance returned", state(wasabistand.Ready))
+		revision = c.mustApply("control-1", revision, fmt.Sprint("after-", revision), "2s")
+		n.await(t, "later revision", atLeast(revision))
+	}
+}
--- a/wasabicontrol/session.go
+++ b/wasabicontrol/session.go
@@ -12,10 +12,11 @@
 
 // Reasons for refusing a session.
 const (
-	reasonNotConfirmed = "not-confirmed"
-	reasonStopping     = "stopping"
-	reasonDuplicate    = "duplicate-instance"
-	reasonFull         = "full"
+	reasonNotConfirmed    = "not-confirmed"
+	reasonBadAnnouncement = "bad-announcement"
+	reasonStopping        = "stopping"
+	reasonDuplicate       = "duplicate-instance"
+	reasonFull            = "full"
 )
 
 const (
@@ -51,20 +52,30 @@
 	ending           bool
 }
 
-// refusalFrame returns a frame that refuses a session.
-func refusalFrame(reason string) *wasabistandv1.ControlFrame {
-	r := &wasabistandv1.SessionRefusal{Reason: reason, RetryAfterMs: uint32(refusalRetryAfter.Milliseconds())}
-	return &wasabistandv1.ControlFrame{Kind: &wasabistandv1.ControlFrame_Refusal{Refusal: r}}
+// refusal is why a session is refused or ends. Its zero value means that it doesn't.
+type refusal struct {
+	reason, detail string
+	// knownIncarnation and knownSequence are those of the announcement that a refused
+	// one can't replace, 0 for other reasons.
+	knownIncarnation, knownSequence uint64
+}
+
+// frame returns the frame that tells a node of the refusal.
+func (r refusal) frame() *wasabistandv1.ControlFrame {
+	return &wasabistandv1.ControlFrame{Kind: &wasabistandv1.ControlFrame_Refusal{Refusal: &wasabistandv1.SessionRefusal{
+		Reason: r.reason, RetryAfterMs: uint32(refusalRetryAfter.Milliseconds()), Detail: r.detail,
+		KnownIncarnation: r.knownIncarnation, KnownSequence: r.knownSequence,
+	}}}
 }
 
 // serveSession serves the session of one node until the stream ends.
 func (i *Instance) serveSession(ctx context.Context, stream *wasabilink.Stream) {
 	out := newOutbox(stream, &i.metrics.sent, i.settings.maxQueuedBytes)
 	s := &session{out: out, subscriptions: map[string]wasabimember.Feed{}}
-	if reason := i.startSession(ctx, s, stream); reason != "" {
-		i.metrics.sessionsEnded.WithLabelValues(reason).Inc()
-		i.log.Info().Str("Peer", stream.Link().Peer().Instance).Str("Reason", reason).Msg("session refused")
-		out.finish(refusalFrame(reason), refusalTimeout)
+	if r := i.startSession(ctx, s, stream); r.reason != "" {
+		i.metrics.sessionsEnded.WithLabelValues(r.reason).Inc()
+		i.log.Info().Str("Peer", stream.Link().Peer().Instance).Str("Reason", r.reason).Str("Detail", r.detail).Msg("session refused")
+		out.finish(r.frame(), refusalTimeout)
 		return
 	}
 	for {
@@ -81,37 +92,37 @@
 }
 
 // startSession reads the first two frames, confirms the state with the quorum
-// and opens the session. It returns the reason if the session is refused.
-func (i *Instance) startSession(ctx context.Context, s *session, stream *wasabilink.Stream) string {
+// and opens the session. It returns a refusal if the session is refused.
+func (i *Instance) startSession(ctx context.Context, s *session, stream *wasabilink.Stream) refusal {
 	_ = stream.SetDeadline(time.Now().Add(sessionStartTimeout))
 	var first, second wasabistandv1.NodeFrame
 	if stream.Receive(&first) != nil || first.GetStart() == nil || stream.Receive(&second) != nil || second.GetAnnounce() == nil {
-		return "bad-start"
+		return refusal{reason: "bad-start"}
 	}
 	_ = stream.SetDeadline(time.Time{})
 	instance, err := wasabiwire.ToInstance(second.GetAnnounce())
 	if err != nil {
-		return "bad-announcement"
+		return refusal{reason: reasonBadAnnouncement, detail: err.Error()}
 	}
 	var address string
 	if s.group, address = i.groupForRegion(instance.Location.Region); s.group == nil {
 		i.log.Info().Str("Instance", instance.ID).Str("Region", instance.Location.Region).Str("Elsewhere", address).Msg("region is served by other control instances")
-		return "other-region"
+		return refusal{reason: "other-region"}
 	}
 	if s.group.confirmer.hasLostQuorum(time.Now(), i.settings.quorumLossTimeout) {
 		// The node finds a control instance with a quorum sooner elsewhere.
-		return reasonNotConfirmed
+		return refusal{reason: reasonNotConfirmed}
 	}
 	// The state is confirmed after the node's request arrived, so that a
 	// restarted node receives no configuration older than any node had before.
 	ctx, cancel := context.WithTimeout(ctx, max(i.settings.confirmTimeout, firstConfirmTimeout))
 	defer cancel()
 	if err := s.group.confirmer.confirmFirst(ctx); err != nil {
-		return reasonNotConfirmed
+		return refusal{reason: reasonNotConfirmed}
 	}
-	reason := reasonStopping
-	i.hub.do(func() { reason = i.hub.openSession(s, first.GetStart().GetRevision(), instance) })
-	return reason
+	r := refusal{reason: reasonStopping}
+	i.hub.do(func() { r = i.hub.openSession(s, first.GetStart().GetRevision(), instance) })
+	return r
 }
 
 // handleFrame handles a frame of an open session.
@@ -119,23 +130,23 @@
 	if s.ending {
 		return
 	}
-	reason := ""
+	var r refusal
 	switch k := f.GetKind().(type) {
 	case *wasabistandv1.NodeFrame_Announce:
 		if instance, err := wasabiwire.ToInstance(k.Announce); err != nil {
-			reason = "bad-announcement"
+			r = refusal{reason: reasonBadAnnouncement, detail: err.Error()}
 		} else {
 			instance.AppliedRevision = min(instance.AppliedRevision, s.revision)
-			reason = h.announce(s, instance)
+			r = h.announce(s, instance)
 		}
 	case *wasabistandv1.NodeFrame_Renew:
-		reason = h.renew(s, k.Renew)
+		r.reason = h.renew(s, k.Renew)
 	case *wasabistandv1.NodeFrame_Interest:
 		h.setSubscriptions(s, k.Interest)
 	default:
-		reason = "bad-frame"
+		r.reason = "bad-frame"
 	}
-	if reason != "" {
-		h.refuse(s, reason)
+	if r.reason != "" {
+		h.refuse(s, r)
 	}
 }
--- a/wasabidaemon/node.go
+++ b/wasabidaemon/node.go
@@ -68,7 +68,7 @@
 	parts.Admin = map[string]http.Handler{path: handler}
 	state := wasabistand.Cold
 	parts.AnnouncementChanged = func(i wasabistand.Instance) {
-		n.session.Announce(i)
+		n.session.Announce(i, false)
 		if i.State != state {
 			state = i.State
 			n.log.Info().Str("State", i.State.String()).Uint64("Revision", i.AppliedRevision).Msg("state changed")
--- a/wasabimember/registry.go
+++ b/wasabimember/registry.go
@@ -98,6 +98,16 @@
 	return nil
 }
 
+// Known returns the incarnation and the sequence of an instance's latest announcement, 0
+// for an instance that is not known.
+func (r *Registry) Known(id string) (incarnation, sequence uint64) {
+	known, _ := r.bestEntry(id)
+	if known == nil {
+		return 0, 0
+	}
+	return known.instance.Incarnation, known.instance.Sequence
+}
+
 // checkReplacement returns an error if an announcement must not replace the
 // known one. leaseValid is true if the lease of the known one has not expired.
 func checkReplacement(i wasabistand.Instance, known *entry, leaseValid bool) error {
--- a/wasabisession/move_test.go
+++ b/wasabisession/move_test.go
@@ -128,7 +128,7 @@
 				s.Announce(wasabistand.Instance{
 					ID: "reports-1", Incarnation: 7, Service: "reports", LinkAddress: "127.0.0.1:1", Slots: slots, Connections: 1,
 					State: wasabistand.Ready, Location: wasabistand.Location{Region: "here", FailureDomain: "a"},
-				})
+				}, false)
 			}
 		}
 	}()
@@ -161,3 +161,38 @@
 		assert.Assert(t, endWhileSending(t, 200) != "")
 	}
 }
+
+// Guards against a node that stays refused, because it does not continue above the
+// announcement that control has.
+func TestRefusedAnnouncementContinuesAboveKnown(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		refusal     *wasabistandv1.SessionRefusal
+		incarnation uint64
+		minSequence uint64
+	}{
+		{"later incarnation", &wasabistandv1.SessionRefusal{Reason: "stale-announcement", KnownIncarnation: 1_000, KnownSequence: 50}, 1_001, 2},
+		{"later sequence", &wasabistandv1.SessionRefusal{Reason: "stale-announcement", KnownIncarnation: 7, KnownSequence: 50}, 7, 51},
+		{"instance that has left", &wasabistandv1.SessionRefusal{Reason: "bad-announcement", KnownIncarnation: 7, KnownSequence: 1}, 8, 2},
+		{"earlier incarnation", &wasabistandv1.SessionRefusal{Reason: "bad-announcement", KnownIncarnation: 6, KnownSequence: 50}, 7, 2},
+		{"control instance of an earlier version", &wasabistandv1.SessionRefusal{Reason: "stale-announcement"}, 7 + uint64(time.Hour), 2},
+		{"other reason", &wasabistandv1.SessionRefusal{Reason: "full"}, 7, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := newControl(t)
+			newSession(t, wasabisession.NewOptions(c.address))
+			announced := func() (*fakeStream, *wasabistandv1.Instance) {
+				k, _ := c.nextSession()
+				var f wasabistandv1.NodeFrame
+				assert.NilError(t, k.Receive(&f))
+				return k, f.GetAnnounce()
+			}
+			k, first := announced()
+			assert.Equal(t, first.GetIncarnation(), uint64(7))
+			assert.NilError(t, k.Send(&wasabistandv1.ControlFrame{Kind: &wasabistandv1.ControlFrame_Refusal{Refusal: test.refusal}}))
+			_, next := announced()
+			assert.Equal(t, next.GetIncarnation(), test.incarnation)
+			assert.Assert(t, next.GetSequence() >= test.minSequence, next.GetSequence())
+		})
+	}
+}
--- a/wasabisession/session.go
+++ b/wasabisession/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -38,10 +39,14 @@
 	announceChanged      chan struct{} // capacity 1: self changed
 	subscriptionsChanged chan struct{} // capacity 1: subscriptions changed
 
+	started time.Time
+
 	// Owned by run.
-	state      state
-	candidates *candidates
-	returns    int // attempts to return to the node's region
+	state state
+	// refusalDetail is what control said about the last refusal.
+	refusalDetail string
+	candidates    *candidates
+	returns       int // attempts to return to the node's region
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -61,7 +66,7 @@
 	s := &Session{
 		options: o, pool: pool, recorder: r, id: self.ID, self: self,
 		announceChanged: make(chan struct{}, 1), subscriptionsChanged: make(chan struct{}, 1),
-		state: newState(self.ID), candidates: newCandidates(self.ID, o),
+		started: time.Now(), state: newState(self.ID), candidates: newCandidates(self.ID, o),
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.published.Store(&viewSnapshot{changed: make(chan struct{})})
@@ -96,12 +101,16 @@
 	notify(s.subscriptionsChanged)
 }
 
-// Announce replaces the node's announcement. The session sets the sequence
-// number and the applied revision. A higher incarnation is applied, because an
-// instance that has left can only return under a new one.
-func (s *Session) Announce(i wasabistand.Instance) {
+// Announce replaces the node's announcement. The session sets the ID, the incarnation,
+// the sequence number and the applied revision. It starts a new incarnation if isNew is
+// set, and for an instance that returns after it has left, because control accepts its
+// return only so.
+func (s *Session) Announce(i wasabistand.Instance, isNew bool) {
 	s.mu.Lock()
-	i.ID, i.Incarnation, i.Sequence = s.self.ID, max(i.Incarnation, s.self.Incarnation), s.self.Sequence
+	i.ID, i.Incarnation, i.Sequence = s.self.ID, s.self.Incarnation, s.self.Sequence
+	if isNew || s.self.State == wasabistand.Leaving && i.State != wasabistand.Leaving {
+		i.Incarnation++
+	}
 	s.self = i
 	s.mu.Unlock()
 	notify(s.announceChanged)
@@ -115,16 +124,31 @@
 	s.mu.Unlock()
 }
 
-// incarnationStep is added to an incarnation that control rejected as stale. It
-// is large enough to exceed one that was derived from a fast clock.
-const incarnationStep = uint64(time.Hour)
+const (
+	// reasonStale is control's reason for refusing an announcement that is older than the
+	// one it has.
+	reasonStale = "stale-announcement"
+	// incarnationStep is added to an incarnation that a control instance rejected as
+	// stale without naming the one that it has. It is large enough to exceed one that was
+	// derived from a fast clock.
+	incarnationStep = uint64(time.Hour)
+)
 
-// advanceIncarnation starts a new incarnation after control has recorded a
-// later one, as when the node's clock was set back.
-func (s *Session) advanceIncarnation() {
+// raiseIdentity continues above the announcement that control has after it refused a
+// later one: it was made by an earlier process whose clock was ahead, or the instance
+// can't continue it.
+func (s *Session) raiseIdentity(r *wasabistandv1.SessionRefusal) {
 	s.mu.Lock()
-	s.self.Incarnation += incarnationStep
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	known := r.GetKnownIncarnation()
+	switch {
+	case known == 0 && r.GetReason() == reasonStale:
+		s.self.Incarnation += incarnationStep
+	case known == s.self.Incarnation && r.GetReason() == reasonStale:
+		s.self.Sequence = max(s.self.Sequence, r.GetKnownSequence())
+	case known >= s.self.Incarnation && known < math.MaxUint64:
+		s.self.Incarnation = known + 1
+	}
 }
 
 // Stale reports whether no control instance has confirmed the session for the
@@ -134,6 +158,14 @@
 	return at == 0 || time.Since(time.Unix(0, at)) > s.options.lease
 }
 
+// Unconfirmed returns how long no control instance has confirmed the session.
+func (s *Session) Unconfirmed() time.Duration {
+	if at := s.lastConfirmed.Load(); at != 0 {
+		return time.Since(time.Unix(0, at))
+	}
+	return time.Since(s.started)
+}
+
 // Take implements wasabistand.Claims.
 func (s *Session) Take(ctx context.Context, c wasabistand.Claim) (wasabistand.ClaimState, error) {
 	return s.claims.take(ctx, c)
@@ -196,11 +228,9 @@
 		if s.ctx.Err() != nil {
 			return
 		}
-		if reason == "stale-announcement" {
-			s.advanceIncarnation()
-		}
 		s.candidates.recordFailure(time.Now(), address, after)
-		s.record(wasabistand.EventSessionDown, reason, wasabistand.HeaderField{Name: "Control", Value: address})
+		s.record(wasabistand.EventSessionDown, reason, wasabistand.HeaderField{Name: "Control", Value: address}, wasabistand.HeaderField{Name: "Detail", Value: s.refusalDetail})
+		s.refusalDetail = ""
 	}
 }
 
--- a/wasabisession/session_stream.go
+++ b/wasabisession/session_stream.go
@@ -10,8 +10,12 @@
 	"github.com/wasabistand/wasabistand/wasabiwire"
 )
 
-// maxRetryAfter bounds the delay that a control instance may ask for.
-const maxRetryAfter = time.Minute
+const (
+	// maxRetryAfter bounds the delay that a control instance may ask for.
+	maxRetryAfter = time.Minute
+	// maxDetailBytes bounds what a control instance may add to the log.
+	maxDetailBytes = 200
+)
 
 // sessionStream is the stream of one session. Only Session.run uses it.
 type sessionStream struct {
@@ -215,6 +219,9 @@
 		if reason = k.Refusal.GetReason(); reason == "" || len(reason) > wasabiwire.MaxNameBytes {
 			reason = "refused"
 		}
+		s.raiseIdentity(k.Refusal)
+		s.refusalDetail = k.Refusal.GetDetail()
+		s.refusalDetail = s.refusalDetail[:min(len(s.refusalDetail), maxDetailBytes)]
 		return reason, after
 	}
 	return "", 0
