wasabigateway: let go of a response's first part once it is written

Callers saw: nothing here; another operator's machines ran out of memory by bytes without end of a faulty worker, and the requests of other clients there ended with them. Cause: the first 256 KiB of a response were kept at both nodes until its end, also after they had been passed on. Change: both nodes drop the part when it is written. Conclusion: fixed; what waits in a queue is still bounded by number, not by bytes.

--- a/internal/traffic/wasabigateway/endless_test.go
+++ b/internal/traffic/wasabigateway/endless_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -116,3 +117,41 @@
 		})
 	}
 }
+
+// Guards against bodies without end that fill the memory of the nodes on their way while
+// their callers read nothing: the largest worker of the users' deployments has 374 slots,
+// and a node beside it 184 MB.
+func TestEndlessBodiesFitMemory(t *testing.T) {
+	const (
+		responses  = 100
+		nodeBytes  = 184 << 20
+		mostSlots  = 374
+		maxBytes   = 2 * nodeBytes * responses / mostSlots // at two nodes
+		heapChecks = 40
+	)
+	heap := func() int64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return int64(m.HeapAlloc)
+	}
+	k := newControl(configuration(time.Minute))
+	u, _ := newEndlessUpstream(t, "i")
+	newNode(t, k, "target", "s", u.address).sendHeartbeat(t, k, u, "s", responses)
+	entry := newNode(t, k, "entry", "t", "127.0.0.1:1")
+	before := heap()
+	for id := range responses {
+		c, err := net.Dial("tcp", entry.address)
+		assert.NilError(t, err)
+		defer c.Close()
+		_, err = fmt.Fprintf(c, "GET /read/x?endless HTTP/1.1\r\nHost: h\r\nId: %d\r\n\r\n", id)
+		assert.NilError(t, err)
+		// The head has arrived, and nothing more is read.
+		_, err = io.ReadFull(c, make([]byte, len("HTTP/1.1 200 OK\r\n")))
+		assert.NilError(t, err)
+	}
+	for range heapChecks {
+		grown := heap() - before
+		assert.Assert(t, grown <= maxBytes, "%d MB for %d responses, allowed are %d MB", grown>>20, responses, int64(maxBytes)>>20)
+	}
+}
--- a/internal/traffic/wasabigateway/ingress.go
+++ b/internal/traffic/wasabigateway/ingress.go
@@ -297,6 +297,8 @@
 	if _, err := q.x.Write(resp.body); err != nil {
 		return
 	}
+	// The rest may take long, and only its chunks are held meanwhile.
+	resp.body = nil
 	p := chunkPool.Get().(*[]byte)
 	defer chunkPool.Put(p)
 	for {
--- a/internal/traffic/wasabigateway/serve.go
+++ b/internal/traffic/wasabigateway/serve.go
@@ -117,6 +117,8 @@
 		return
 	}
 	total := uint64(len(resp.body))
+	// The rest may take long, and only its chunks are held meanwhile.
+	resp.body = nil
 	p := chunkPool.Get().(*[]byte)
 	defer chunkPool.Put(p)
 	for {
