wasabigateway: a node that can't be reached is passed over

Callers saw: 503 while other instances could serve them, for a second or more after nodes were killed. Cause: sendToNode cancelled its context before it read from it why the dial had failed, so that each failed dial counted as a caller that had gone: no retry, and no mark on the instance. Change: the context is cancelled after its state was read.

--- a/internal/traffic/wasabigateway/link.go
+++ b/internal/traffic/wasabigateway/link.go
@@ -33,7 +33,7 @@
 	ctx, cancel := context.WithDeadline(ctx, a.deadline.Add(g.settings.responseGrace))
 	link, err := g.pool.Get(ctx, address)
 	if err != nil {
-		cancel()
+		defer cancel()
 		return notSentOutcome(ctx, err)
 	}
 	knowsContinue := link.Peer().CallVersion >= versionWithContinue
