wasabicontrol: split the pushing of configurations from the hub

Change: push.go takes configurationPush and what makes and sends its frames, unchanged; the tests share acceptAll and send.

--- a/internal/traffic/wasabigateway/early_response_test.go
+++ b/internal/traffic/wasabigateway/early_response_test.go
@@ -42,15 +42,7 @@
 			}
 		}
 	}
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
+	go acceptAll(ln, serve)
 	return u, func() { _ = ln.Close() }
 }
 
--- a/internal/traffic/wasabigateway/endless_test.go
+++ b/internal/traffic/wasabigateway/endless_test.go
@@ -54,15 +54,7 @@
 			}
 		}
 	}
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
+	go acceptAll(ln, serve)
 	return u, ended
 }
 
--- a/internal/traffic/wasabigateway/gateway_test.go
+++ b/internal/traffic/wasabigateway/gateway_test.go
@@ -52,19 +52,24 @@
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = ln.Close() })
 	u := &upstream{name: name, address: ln.Addr().String(), respond: respond, gone: make(chan string, 16), health: "HTTP/1.1 200 OK\r\nName: " + name + "\r\nContent-Length: 0\r\n\r\n"}
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			u.connections.Add(1)
-			go u.serve(c)
-		}
-	}()
+	go acceptAll(ln, func(c net.Conn) {
+		u.connections.Add(1)
+		u.serve(c)
+	})
 	return u
 }
 
+// acceptAll serves the connections of a listener until it is closed.
+func acceptAll(ln net.Listener, serve func(net.Conn)) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go serve(c)
+	}
+}
+
 func (u *upstream) serve(c net.Conn) {
 	defer c.Close()
 	r := bufio.NewReader(c)
@@ -249,6 +254,12 @@
 	t.Helper()
 	r, err := http.NewRequest(method, "http://"+n.address+path, strings.NewReader(body))
 	assert.NilError(t, err)
+	return send(t, r, id)
+}
+
+// send sends a request with an ID and returns the response.
+func send(t *testing.T, r *http.Request, id string) reply {
+	t.Helper()
 	r.Host = "h"
 	r.Header.Set("Id", id)
 	a, err := client.Do(r)
--- a/internal/traffic/wasabigateway/upload_test.go
+++ b/internal/traffic/wasabigateway/upload_test.go
@@ -25,14 +25,7 @@
 	// The type hides the length.
 	r, err := http.NewRequest(http.MethodPost, "http://"+n.address+"/book/x", io.MultiReader(strings.NewReader(body)))
 	assert.NilError(t, err)
-	r.Host = "h"
-	r.Header.Set("Id", fmt.Sprint(id))
-	a, err := client.Do(r)
-	assert.NilError(t, err)
-	defer a.Body.Close()
-	b, err := io.ReadAll(a.Body)
-	assert.NilError(t, err)
-	return reply{a.StatusCode, a.Header, string(b)}
+	return send(t, r, fmt.Sprint(id))
 }
 
 // Guards against an upload in chunks that the other node takes for truncated, because
--- a/wasabicontrol/hub.go
+++ b/wasabicontrol/hub.go
@@ -348,61 +348,6 @@
 	h.wait.Go(func() { s.out.finish(nil, refusalTimeout) })
 }
 
-// configurationPush is a configuration with the frames made from it. A push sends all
-// sessions of a group the same one, also if the state machine publishes another
-// meanwhile.
-type configurationPush struct {
-	configuration *configuration
-	// withDocument and withoutDocument are made when the first session needs them.
-	withDocument, withoutDocument *wasabistandv1.ControlFrame
-}
-
-// frame returns the frame for a session.
-func (p *configurationPush) frame(h *hub, s *session) *wasabistandv1.ControlFrame {
-	withDocument := p.configuration.documentRevision > s.documentRevision
-	f := &p.withoutDocument
-	if withDocument {
-		f = &p.withDocument
-	}
-	if *f == nil {
-		*f = h.configurationFrame(p.configuration, withDocument)
-	}
-	return *f
-}
-
-// pushConfigurations sends each session its group's configuration if it is newer
-// than the last one sent. With force it sends it to all sessions, since the frame
-// also contains the directory, which has changed.
-func (h *hub) pushConfigurations(force bool) {
-	pushes := map[*group]*configurationPush{}
-	for s := range h.sessions {
-		p := pushes[s.group]
-		if p == nil {
-			p = &configurationPush{configuration: s.group.machine.current.Load()}
-			pushes[s.group] = p
-		}
-		c := p.configuration
-		if c.revision < s.revision || c.revision == s.revision && !force {
-			continue
-		}
-		f := p.frame(h, s)
-		s.revision, s.documentRevision = c.revision, max(s.documentRevision, c.documentRevision)
-		h.send(s, f)
-	}
-	h.instance.triggerConfigCopy()
-}
-
-func (h *hub) configurationFrame(c *configuration, withDocument bool) *wasabistandv1.ControlFrame {
-	u := &wasabistandv1.ConfigurationUpdate{
-		Revision: c.revision, DocumentRevision: c.documentRevision, Drained: c.drained,
-		ClaimHomes: h.directory.claimAddresses, ControlAddresses: h.directory.addresses, ControlRegions: h.directory.controlsByRegion,
-	}
-	if withDocument {
-		u.Document = c.compact
-	}
-	return &wasabistandv1.ControlFrame{Kind: &wasabistandv1.ControlFrame_Configuration{Configuration: u}}
-}
-
 // pushMembership sends changed lists to the sessions that subscribed to them.
 func (h *hub) pushMembership(now time.Time) {
 	if !h.dirty {
