Log what control sent and what nodes hold

An incident (confirmed changes not in force at nodes of real processes) could not be told apart by the logs: pushes and renewals left no line, the revision that a node reports was cut to the one recorded as sent, and a 404 did not say how old the node's knowledge was.

Control: a line for each change confirmed to its operator, each round of a push, each start of a session, and a session that reports another revision than the one sent for it, with gauges and counters. The cut for the registry stays; a report beyond it is logged and counted. Node: the source and age of each revision, both revisions of a session, and revision and age of the last confirmation in the line of each 404. Lines are bounded by kind and second; the limiter of the request log is a package now. The configuration update has a new field, age_ms. No decision is changed.

Test: TestReportedRevisionIsCompared.

--- a/configuration.go
+++ b/configuration.go
@@ -104,4 +104,6 @@
 	// ClaimAddresses maps regions to claim addresses, with the key "" for other
 	// regions.
 	ClaimAddresses map[string][]string
+	// Source is the address of the control instance that sent the revision, for the log.
+	Source string
 }
--- a/internal/process/wasabimesh/node.go
+++ b/internal/process/wasabimesh/node.go
@@ -99,7 +99,8 @@
 	}
 	n.gateway, err = wasabigateway.New(s.Gateway, wasabigateway.Parts{
 		Directory: directory{n}, Announce: func(i wasabistand.Instance, isNew bool) { n.session.Announce(i, isNew) },
-		Link: links, Listener: link, Callers: callers, Log: n.log,
+		Unconfirmed: func() time.Duration { return n.session.Unconfirmed() },
+		Link:        links, Listener: link, Callers: callers, Log: n.log,
 		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Place: wasabiplace.NewOptions(),
 		Admission: func(slots, queue int) wasabistand.Admission {
 			return wasabiadmission.New(wasabiadmission.NewOptions().WithLimit(slots).WithQueueLimit(queue))
--- a/internal/traffic/wasabigateway/gateway.go
+++ b/internal/traffic/wasabigateway/gateway.go
@@ -29,6 +29,9 @@
 	// identity of the announcement. isNew is set if another upstream has taken the
 	// place of the one that was announced before.
 	Announce func(i wasabistand.Instance, isNew bool)
+	// Unconfirmed returns how long ago control last confirmed the view; nil if that is
+	// unknown.
+	Unconfirmed func() time.Duration
 	// Link are the options of the links to other nodes.
 	Link wasabilink.Options
 	// Listener accepts links from other nodes.
@@ -165,7 +168,7 @@
 		case <-changed:
 		case <-t.C:
 			g.local.refresh()
-			g.requestLog.flush()
+			g.requestLog.Flush()
 		}
 	}
 }
@@ -191,7 +194,7 @@
 			g.local.configure(u)
 		}
 		g.config.Store(&appliedConfig{revision: v.Revision, configuration: c, table: table})
-		g.log.Info().Uint64("Revision", v.Revision).Int("Routes", table.Routes()).Msg("configuration in force")
+		g.log.Info().Uint64("Revision", v.Revision).Int("Routes", table.Routes()).Str("Source", v.Source).Msg("configuration in force")
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -299,7 +302,7 @@
 	}
 	g.wait.Wait()
 	g.queue.close()
-	g.requestLog.flush()
+	g.requestLog.Flush()
 	return err
 }
 
--- a/internal/traffic/wasabigateway/ingress.go
+++ b/internal/traffic/wasabigateway/ingress.go
@@ -35,6 +35,9 @@
 	// rest is the part of the body that is not buffered, nil if there is none.
 	rest  *callerBody
 	tried []string
+	// revision is that of the configuration that has no route for the request, 0 for
+	// others.
+	revision uint64
 	// arrivedCount counts the attempts that may have reached an upstream,
 	// refusedCount those that have not.
 	arrivedCount int
@@ -109,6 +112,8 @@
 	path := target(r)
 	var ok bool
 	if q.route, ok = c.table.Find(r.Host, path); !ok {
+		q.revision = c.revision
+		g.metrics.unknownRoutes.Inc()
 		return http.StatusNotFound, wasabistand.NewRefusal(wasabistand.ReasonUnknownCall, fmt.Sprintf("host %.64q, path %.64q: no route of revision %d", r.Host, path, c.revision))
 	}
 	timeout := q.route.Timeout
@@ -331,6 +336,6 @@
 		h["Retry-After"] = []string{strconv.FormatFloat(min(retryAfter, maxRetryAfter).Seconds(), 'f', 3, 64)}
 	}
 	g.metrics.recordRequest(q, outcome{refusal: r}, g.now().Sub(q.x.Received))
-	g.requestLog.logRefusal(q, status, r)
+	g.logRefusal(q, status, r)
 	_ = q.x.Respond(status, h, []byte(r.Error()+"\n"))
 }
--- a/internal/traffic/wasabigateway/metrics.go
+++ b/internal/traffic/wasabigateway/metrics.go
@@ -18,6 +18,8 @@
 	retries      *prometheus.CounterVec
 	upstreamTime *prometheus.HistogramVec
 	omittedLines *prometheus.CounterVec
+	// unknownRoutes counts the requests that the node found no route for.
+	unknownRoutes prometheus.Counter
 }
 
 // latencyBuckets range, in seconds, from a call within a failure domain to the
@@ -44,6 +46,9 @@
 		omittedLines: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "wasabi_log_lines_left_out_total", Help: "Log lines that were omitted by the rate limit, by kind.",
 		}, []string{"kind"}),
+		unknownRoutes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "wasabi_unknown_routes_total", Help: "Requests for which the configuration in force has no route.",
+		}),
 	}
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value)
@@ -51,7 +56,7 @@
 	if r == nil {
 		return m
 	}
-	r.MustRegister(m.requests, m.latency, m.attempts, m.retries, m.upstreamTime, m.omittedLines,
+	r.MustRegister(m.requests, m.latency, m.attempts, m.retries, m.upstreamTime, m.omittedLines, m.unknownRoutes,
 		gauge("wasabi_upstream_running", "Calls that run in the local upstream.", func() float64 { return float64(g.queue.load().Running) }),
 		gauge("wasabi_upstream_waiting", "Calls that wait for the local upstream.", func() float64 { return float64(g.queue.load().Waiting) }),
 		gauge("wasabi_upstream_limit", "Calls that may run in the local upstream concurrently.", func() float64 { return float64(g.queue.load().Limit) }),
--- a/internal/traffic/wasabigateway/request_log.go
+++ b/internal/traffic/wasabigateway/request_log.go
@@ -1,13 +1,13 @@
 package wasabigateway
 
 import (
-	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"github.com/wasabistand/wasabistand"
+	"github.com/wasabistand/wasabistand/internal/operate/wasabilog"
 )
 
 // Limits of the log lines on requests, per second and kind of line. The lines
@@ -20,64 +20,29 @@
 
 // requestLog writes a log line for each decision on a request, within the limits.
 type requestLog struct {
+	*wasabilog.Limiter
 	log zerolog.Logger
-	now func() time.Time
 
 	// omitted counts the lines that were not written.
 	omitted *prometheus.CounterVec
-
-	mu     sync.Mutex
-	second int64
-	kinds  map[string]*lineCount
 }
 
-type lineCount struct{ written, omitted int }
-
 func newRequestLog(log zerolog.Logger, now func() time.Time) *requestLog {
-	return &requestLog{log: log, now: now, kinds: map[string]*lineCount{}}
+	l := &requestLog{log: log}
+	l.Limiter = wasabilog.NewLimiter(now, l.report)
+	return l
 }
 
-// allow reports whether a line of a kind may be written.
-func (l *requestLog) allow(kind string, limit int) bool {
-	second := l.now().Unix()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if second != l.second {
-		l.report()
-		l.second = second
-	}
-	c := l.kinds[kind]
-	if c == nil {
-		c = &lineCount{}
-		l.kinds[kind] = c
+// report counts and logs the lines that were omitted.
+func (l *requestLog) report(kind string, lines int) {
+	if l.omitted != nil {
+		l.omitted.WithLabelValues(kind).Add(float64(lines))
 	}
-	if c.written >= limit {
-		c.omitted++
-		return false
-	}
-	c.written++
-	return true
-}
-
-// report counts and logs the lines that were omitted. The mutex must be held.
-func (l *requestLog) report() {
-	for kind, c := range l.kinds {
-		if c.omitted > 0 && l.omitted != nil {
-			l.omitted.WithLabelValues(kind).Add(float64(c.omitted))
-		}
-		if c.omitted > 0 && kind != "answered" && kind != "served" {
-			l.log.Info().Str("Kind", kind).Int("Lines", c.omitted).Msg("lines left out")
-		}
-		*c = lineCount{}
+	if kind != "answered" && kind != "served" {
+		l.log.Info().Str("Kind", kind).Int("Lines", lines).Msg("lines left out")
 	}
 }
 
-func (l *requestLog) flush() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.report()
-}
-
 func loadFields(e *zerolog.Event, l *wasabistand.Load) *zerolog.Event {
 	if l == nil {
 		return e
@@ -93,7 +58,7 @@
 	} else if out.response.status >= 400 {
 		limit, key = maxLinesPerSecond, kind+".status"
 	}
-	if !g.requestLog.allow(key, limit) {
+	if !g.requestLog.Allow(key, limit) {
 		return
 	}
 	e := g.log.Info().Str("RequestID", a.requestID).Str("Service", a.service).Str("Route", a.route).
@@ -108,13 +73,19 @@
 }
 
 // logRefusal logs a refusal that the node sends to the caller.
-func (l *requestLog) logRefusal(q *request, status int, r *wasabistand.Refusal) {
-	if !l.allow("refused."+string(r.Reason), maxLinesPerSecond) {
+func (g *Gateway) logRefusal(q *request, status int, r *wasabistand.Refusal) {
+	if !g.requestLog.Allow("refused."+string(r.Reason), maxLinesPerSecond) {
 		return
 	}
-	e := l.log.Info().Str("RequestID", q.id).Int("Status", status).Str("Outcome", r.Outcome.String()).
+	e := g.log.Info().Str("RequestID", q.id).Int("Status", status).Str("Outcome", r.Outcome.String()).
 		Str("Reason", string(r.Reason)).Str("Detail", truncateDetail(r.Detail)).Int("Attempts", len(q.tried)).Int("Arrived", q.arrivedCount).
 		Dur("RetryAfter", r.RetryAfter)
+	if q.revision != 0 {
+		e = e.Uint64("Revision", q.revision)
+		if g.parts.Unconfirmed != nil {
+			e = e.Int64("ConfirmedMsAgo", g.parts.Unconfirmed().Milliseconds())
+		}
+	}
 	if q.route != nil {
 		e = e.Str("Route", q.route.Name).Str("Service", q.service).Str("Importance", q.route.Importance.String()).Strs("Tried", q.tried)
 	}
--- a/wasabicontrol/cluster_test.go
+++ b/wasabicontrol/cluster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"path/filepath"
@@ -46,6 +47,8 @@
 	// instances are added.
 	mu     sync.Mutex
 	modify func(wasabicontrol.Settings) wasabicontrol.Settings
+	// log receives the lines of the instances that are started later, nil for none.
+	log io.Writer
 }
 
 // newCluster starts a cluster whose first home members also form the home group
@@ -103,6 +106,9 @@
 func (c *cluster) start(id string, listeners [2]net.Listener) {
 	c.t.Helper()
 	log := zerolog.Nop()
+	if c.log != nil {
+		log = zerolog.New(c.log)
+	}
 	groups := slices.Clone(c.groups)
 	groups[0].Join = c.joins[id]
 	s := wasabicontrol.NewSettings("test", id, filepath.Join(c.dir, id)).
--- a/wasabicontrol/hub.go
+++ b/wasabicontrol/hub.go
@@ -148,6 +148,7 @@
 			}
 		}
 	}
+	h.instance.lines.Tick()
 	if now.Sub(h.lastSync) >= syncInterval {
 		h.broadcast(now)
 	}
@@ -218,9 +219,13 @@
 	h.sessions[s] = struct{}{}
 	// The node already has the document of the revision that it started with.
 	s.revision, s.documentRevision = nodeRevision, nodeRevision
-	f := h.configurationFrame(c, s.documentRevision < c.documentRevision)
-	s.revision, s.documentRevision = c.revision, max(s.documentRevision, c.documentRevision)
+	withDocument := s.documentRevision < c.documentRevision
+	f := h.configurationFrame(c, withDocument)
+	now := time.Now()
+	s.lag = lag{reported: i.AppliedRevision, since: now}
+	s.recordSent(c, now)
 	h.send(s, f)
+	h.logSessionStart(s, nodeRevision, withDocument)
 	return refusal{}
 }
 
@@ -256,10 +261,11 @@
 
 // renew renews a lease and returns the reason if the session must end.
 func (h *hub) renew(s *session, r *wasabistandv1.Renewal) string {
+	now := time.Now()
+	h.observeReported(s, r.GetRevisionInForce(), now)
 	// A node can't have applied a revision that was not sent to it.
 	revision := min(r.GetRevisionInForce(), s.revision)
-	err := h.registry.Renew(time.Now(), s.id, s.incarnation, r.GetSequence(), revision)
-	if err != nil {
+	if err := h.registry.Renew(now, s.id, s.incarnation, r.GetSequence(), revision); err != nil {
 		return "announce-again"
 	}
 	h.send(s, &wasabistandv1.ControlFrame{Kind: &wasabistandv1.ControlFrame_Renewed{Renewed: &wasabistandv1.RenewalAck{Sequence: r.GetSequence()}}})
--- a/wasabicontrol/instance.go
+++ b/wasabicontrol/instance.go
@@ -15,6 +15,7 @@
 
 	"github.com/wasabistand/wasabistand"
 	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
+	"github.com/wasabistand/wasabistand/internal/operate/wasabilog"
 	"github.com/wasabistand/wasabistand/wasabidisk"
 	"github.com/wasabistand/wasabistand/wasabievent"
 	"github.com/wasabistand/wasabistand/wasabilink"
@@ -43,6 +44,7 @@
 	settings Settings
 	parts    Parts
 	log      zerolog.Logger
+	lines    *wasabilog.Limiter
 	metrics  *metrics
 
 	folder          *wasabidisk.Folder
@@ -92,6 +94,9 @@
 		i.log = zerolog.New(zerolog.ConsoleWriter{Out: os.Stderr, NoColor: true, TimeFormat: time.RFC3339}).With().Timestamp().Logger()
 	}
 	i.log = i.log.With().Str("Control", s.id).Logger()
+	i.lines = wasabilog.NewLimiter(time.Now, func(kind string, omitted int) {
+		i.log.Info().Str("Kind", kind).Int("Lines", omitted).Msg("lines left out")
+	})
 	i.ctx, i.cancel = context.WithCancel(context.Background())
 	i.metrics = newMetrics(i)
 	return i, nil
--- a/wasabicontrol/machine.go
+++ b/wasabicontrol/machine.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/wasabistand/wasabistand"
 	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
@@ -19,6 +20,8 @@
 	// compact is the document as it is sent to nodes.
 	compact []byte
 	drained []string
+	// appliedAt is when this instance applied the revision.
+	appliedAt time.Time
 }
 
 // stateMachine is the state machine of a group. The log's runner applies
@@ -72,7 +75,7 @@
 // publish replaces the configuration that readers load.
 func (m *stateMachine) publish() {
 	d := m.state.Document()
-	c := &configuration{revision: d.Revision, documentRevision: d.DocumentRevision, toml: d.TOML, drained: m.state.Drained()}
+	c := &configuration{revision: d.Revision, documentRevision: d.DocumentRevision, toml: d.TOML, drained: m.state.Drained(), appliedAt: time.Now()}
 	if old := m.current.Load(); old.documentRevision == c.documentRevision && old.toml == c.toml {
 		c.compact = old.compact
 	} else {
--- a/wasabicontrol/metrics.go
+++ b/wasabicontrol/metrics.go
@@ -12,6 +12,8 @@
 	registry      *prometheus.Registry
 	sessionsEnded *prometheus.CounterVec
 	claimsRefused prometheus.Counter
+	pushes        prometheus.Counter
+	aheadReports  prometheus.Counter
 	sent          sentBytes
 }
 
@@ -20,8 +22,10 @@
 		registry:      prometheus.NewRegistry(),
 		sessionsEnded: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "wasabi_control_sessions_ended_total", Help: "Sessions that this control instance refused or dropped, by reason."}, []string{"reason"}),
 		claimsRefused: prometheus.NewCounter(prometheus.CounterOpts{Name: "wasabi_control_claims_refused_total", Help: "Claim requests refused because the queue was full."}),
+		pushes:        prometheus.NewCounter(prometheus.CounterOpts{Name: "wasabi_control_pushes_total", Help: "Configuration updates sent to sessions."}),
+		aheadReports:  prometheus.NewCounter(prometheus.CounterOpts{Name: "wasabi_control_reports_ahead_total", Help: "Renewals that reported a later revision than the one sent."}),
 	}
-	m.registry.MustRegister(m.sessionsEnded, m.claimsRefused, &collector{instance: i})
+	m.registry.MustRegister(m.sessionsEnded, m.claimsRefused, m.pushes, m.aheadReports, &collector{instance: i})
 	return m
 }
 
@@ -31,6 +35,8 @@
 
 var (
 	descSessions  = prometheus.NewDesc("wasabi_control_sessions", "Open sessions.", nil, nil)
+	descBehind    = prometheus.NewDesc("wasabi_control_sessions_behind", "Sessions whose node reports an earlier revision than the one sent.", nil, nil)
+	descDistance  = prometheus.NewDesc("wasabi_control_session_revision_distance", "Greatest distance between the revision sent on a session and the one that its node reports.", nil, nil)
 	descInstances = prometheus.NewDesc("wasabi_control_instances", "Upstream instances listed.", nil, nil)
 	descSuspect   = prometheus.NewDesc("wasabi_control_instances_suspect", "Upstream instances still listed after a mass expiry of leases.", nil, nil)
 	descRevision  = prometheus.NewDesc("wasabi_control_revision", "Latest committed revision.", []string{"group"}, nil)
@@ -48,7 +54,7 @@
 
 // Describe implements prometheus.Collector.
 func (c *collector) Describe(d chan<- *prometheus.Desc) {
-	for _, k := range []*prometheus.Desc{descSessions, descInstances, descSuspect, descRevision, descLeader, descTerm, descCommit, descFull, descClaims, descRequests, descBatches, descSentBytes, descSentMessages} {
+	for _, k := range []*prometheus.Desc{descSessions, descBehind, descDistance, descInstances, descSuspect, descRevision, descLeader, descTerm, descCommit, descFull, descClaims, descRequests, descBatches, descSentBytes, descSentMessages} {
 		d <- k
 	}
 }
@@ -59,12 +65,16 @@
 		out <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
 	}
 	i := c.instance
-	var sessions, listed, suspect int
+	var sessions, behind, listed, suspect int
+	var distance uint64
 	if i.hub != nil && i.hub.do(func() {
 		stats := i.hub.registry.Stats()
 		sessions, listed, suspect = len(i.hub.sessions), stats.Listed, stats.Suspect
+		behind, distance = i.hub.distance()
 	}) {
 		gauge(descSessions, float64(sessions))
+		gauge(descBehind, float64(behind))
+		gauge(descDistance, float64(distance))
 		gauge(descInstances, float64(listed))
 		gauge(descSuspect, float64(suspect))
 	}
--- a/wasabicontrol/operator.go
+++ b/wasabicontrol/operator.go
@@ -49,7 +49,7 @@
 func (i *Instance) execute(ctx context.Context, c command) (proto.Message, error) {
 	ctx, cancel := context.WithTimeout(ctx, i.settings.operatorTimeout)
 	defer cancel()
-	outcomeUnknown := false
+	outcomeUnknown, started := false, time.Now()
 	for {
 		err := wasabistand.ErrNotLeader.New("group %q has no leader that is known here", c.group)
 		if g := i.groups[c.group]; g == nil {
@@ -57,10 +57,12 @@
 		} else if id, address := g.runner.Leader(); id == i.settings.id {
 			var m proto.Message
 			if m, err = i.executeAtLeader(ctx, c); err == nil {
+				i.logConfirmed(c, m, id, started)
 				return m, nil
 			}
 		} else if id != "" && address != "" {
 			if err = i.forward(ctx, address, c); err == nil {
+				i.logConfirmed(c, c.response, id, started)
 				return c.response, nil
 			}
 		}
--- a/wasabicontrol/push.go
+++ b/wasabicontrol/push.go
@@ -1,6 +1,10 @@
 package wasabicontrol
 
-import wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
+import (
+	"time"
+
+	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
+)
 
 // configurationPush is a configuration with the frames made from it. A push sends all
 // sessions of a group the same one, also if the state machine publishes another
@@ -9,6 +13,8 @@
 	configuration *configuration
 	// withDocument and withoutDocument are made when the first session needs them.
 	withDocument, withoutDocument *wasabistandv1.ControlFrame
+	// sent and skipped count the sessions.
+	sent, skipped int
 }
 
 // frame returns the frame for a session.
@@ -28,6 +34,7 @@
 // than the last one sent. With force it sends it to all sessions, since the frame
 // also contains the directory, which has changed.
 func (h *hub) pushConfigurations(force bool) {
+	now := time.Now()
 	pushes := map[*group]*configurationPush{}
 	for s := range h.sessions {
 		p := pushes[s.group]
@@ -37,12 +44,17 @@
 		}
 		c := p.configuration
 		if c.revision < s.revision || c.revision == s.revision && !force {
+			p.skipped++
 			continue
 		}
+		p.sent++
 		f := p.frame(h, s)
-		s.revision, s.documentRevision = c.revision, max(s.documentRevision, c.documentRevision)
+		s.recordSent(c, now)
 		h.send(s, f)
 	}
+	for g, p := range pushes {
+		h.logPush(g, p, now)
+	}
 	h.instance.triggerConfigCopy()
 }
 
@@ -51,6 +63,9 @@
 		Revision: c.revision, DocumentRevision: c.documentRevision, Drained: c.drained,
 		ClaimHomes: h.directory.claimAddresses, ControlAddresses: h.directory.addresses, ControlRegions: h.directory.controlsByRegion,
 	}
+	if !c.appliedAt.IsZero() {
+		u.AgeMs = uint64(max(time.Since(c.appliedAt).Milliseconds(), 1))
+	}
 	if withDocument {
 		u.Document = c.compact
 	}
--- /dev/null
+++ b/wasabicontrol/renewal_test.go
@@ -0,0 +1,148 @@
+package wasabicontrol_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+
+	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
+	"github.com/wasabistand/wasabistand/wasabilink"
+	"github.com/wasabistand/wasabistand/wasabiwire"
+)
+
+// rawNode is a node's end of a session whose frames the test writes and reads itself.
+type rawNode struct {
+	t      *testing.T
+	stream *wasabilink.Stream
+}
+
+// rawNode opens a session that starts with the given frame.
+func (c *cluster) rawNode(t *testing.T, control, id string, start *wasabistandv1.SessionStart) *rawNode {
+	t.Helper()
+	pool := wasabilink.NewPool(wasabilink.NewOptions("test", id, 1), nil)
+	t.Cleanup(func() { assert.Check(t, pool.Close()) })
+	link, err := pool.Get(t.Context(), c.links[control])
+	assert.NilError(t, err)
+	stream, err := link.Open(wasabistandv1.StreamOpen_KIND_SESSION)
+	assert.NilError(t, err)
+	n := &rawNode{t, stream}
+	n.send(&wasabistandv1.NodeFrame{Kind: &wasabistandv1.NodeFrame_Start{Start: start}})
+	i := instance(id, "reports", 1)
+	i.Sequence, i.AppliedRevision = 1, start.GetRevision()
+	n.send(&wasabistandv1.NodeFrame{Kind: &wasabistandv1.NodeFrame_Announce{Announce: wasabiwire.FromInstance(i)}})
+	return n
+}
+
+func (n *rawNode) send(f *wasabistandv1.NodeFrame) {
+	n.t.Helper()
+	assert.NilError(n.t, n.stream.Send(f))
+}
+
+func (n *rawNode) renew(r *wasabistandv1.Renewal) {
+	n.t.Helper()
+	n.send(&wasabistandv1.NodeFrame{Kind: &wasabistandv1.NodeFrame_Renew{Renew: r}})
+}
+
+func (n *rawNode) receive() *wasabistandv1.ControlFrame {
+	n.t.Helper()
+	f := new(wasabistandv1.ControlFrame)
+	assert.NilError(n.t, n.stream.Receive(f))
+	return f
+}
+
+// configuration returns the next configuration update.
+func (n *rawNode) configuration() *wasabistandv1.ConfigurationUpdate {
+	n.t.Helper()
+	for {
+		if u := n.receive().GetConfiguration(); u != nil {
+			return u
+		}
+	}
+}
+
+// ack returns the next acknowledgement.
+func (n *rawNode) ack() *wasabistandv1.RenewalAck {
+	n.t.Helper()
+	for {
+		if a := n.receive().GetRenewed(); a != nil {
+			return a
+		}
+	}
+}
+
+// logBuffer collects the lines of a cluster.
+type logBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+// lines returns the lines that contain a text.
+func (l *logBuffer) lines(text string) (list []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for s := range strings.Lines(l.b.String()) {
+		if strings.Contains(s, text) {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// assertMetric checks a line of the metrics of a control instance.
+func (c *cluster) assertMetric(t *testing.T, id, name string, value int) {
+	t.Helper()
+	response, err := http.Get("http://" + c.apis[id] + "/metrics")
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	b, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	line := fmt.Sprintf("\n%s %d\n", name, value)
+	assert.Assert(t, strings.Contains(string(b), line), "no line %q", line)
+}
+
+// Guards against a node that holds another revision than the one sent to it, unnoticed.
+func TestReportedRevisionIsCompared(t *testing.T) {
+	log := new(logBuffer)
+	c := newCluster(t, 1, 0, nil)
+	c.kill("control-1")
+	c.log = log
+	c.restart("control-1")
+	first := c.mustApply("control-1", 0, "first", "1s")
+	n := c.rawNode(t, "control-1", "raw-1", &wasabistandv1.SessionStart{})
+	assert.Equal(t, n.configuration().GetRevision(), first)
+	n.renew(&wasabistandv1.Renewal{Sequence: 1, RevisionInForce: first})
+	n.ack()
+	c.assertMetric(t, "control-1", "wasabi_control_sessions_behind", 0)
+	second := c.mustApply("control-1", first, "second", "2s")
+	third := c.mustApply("control-1", second, "third", "3s")
+	for n.configuration().GetRevision() < third {
+		continue
+	}
+	n.renew(&wasabistandv1.Renewal{Sequence: 1, RevisionInForce: first})
+	n.ack()
+	c.assertMetric(t, "control-1", "wasabi_control_sessions_behind", 1)
+	c.assertMetric(t, "control-1", "wasabi_control_session_revision_distance", int(third-first))
+	n.renew(&wasabistandv1.Renewal{Sequence: 1, RevisionInForce: third + 7})
+	n.ack()
+	c.assertMetric(t, "control-1", "wasabi_control_reports_ahead_total", 1)
+	assert.Equal(t, len(log.lines("session ahead")), 1)
+	assert.Equal(t, len(log.lines("session started")), 1)
+	assert.Equal(t, len(log.lines("change confirmed")), 3)
+	assert.Assert(t, len(log.lines("configuration pushed")) > 0)
+	status, err := c.operator("control-1", readToken).Status(t.Context(), connect.NewRequest(&wasabistandv1.StatusRequest{}))
+	assert.NilError(t, err)
+	assert.Equal(t, status.Msg.GetInstances()[0].GetRevisionInForce(), third)
+}
--- a/wasabicontrol/session.go
+++ b/wasabicontrol/session.go
@@ -49,6 +49,7 @@
 	subscriptions    map[string]wasabimember.Feed // by service
 	revision         uint64                       // last revision sent
 	documentRevision uint64
+	lag              lag
 	ending           bool
 }
 
--- a/wasabisession/session.go
+++ b/wasabisession/session.go
@@ -229,7 +229,8 @@
 			return
 		}
 		s.candidates.recordFailure(time.Now(), address, after)
-		s.record(wasabistand.EventSessionDown, reason, wasabistand.HeaderField{Name: "Control", Value: address}, wasabistand.HeaderField{Name: "Detail", Value: s.refusalDetail})
+		s.record(wasabistand.EventSessionDown, reason, wasabistand.HeaderField{Name: "Control", Value: address}, wasabistand.HeaderField{Name: "Detail", Value: s.refusalDetail},
+			revisionField(s.state.revision), numberField("ConfirmedMsAgo", uint64(max(s.Unconfirmed().Milliseconds(), 0))))
 		s.refusalDetail = ""
 	}
 }
--- a/wasabisession/session_stream.go
+++ b/wasabisession/session_stream.go
@@ -24,7 +24,9 @@
 	address     string
 	established bool      // the first configuration has arrived
 	lastAck     time.Time // when control last acknowledged a renewal
-	resync      bool
+	// heldRevision is the revision that the node held when the session started.
+	heldRevision uint64
+	resync       bool
 	// homeReachable receives a value when a control instance of the node's region can
 	// be reached while the session is with one of another region.
 	homeReachable chan struct{}
@@ -78,6 +80,7 @@
 func (c *sessionStream) serve(frames <-chan *wasabistandv1.ControlFrame, ended <-chan struct{}) (string, time.Duration) {
 	s := c.session
 	s.state.resetVersions()
+	c.heldRevision = s.state.revision
 	start := &wasabistandv1.SessionStart{Revision: s.state.revision}
 	if !c.send(&wasabistandv1.NodeFrame{Kind: &wasabistandv1.NodeFrame_Start{Start: start}}) || !c.announce() || !c.sendSubscriptions() {
 		return reasonLinkLost, 0
@@ -183,6 +186,7 @@
 			return "older-revision", 0
 		}
 		changed := u.GetRevision() > s.state.revision
+		s.state.source = c.address
 		if err := s.state.applyConfiguration(u); err != nil {
 			s.record(wasabistand.EventConfigRefused, "parse", wasabistand.HeaderField{Name: "Error", Value: err.Error()})
 		}
@@ -193,12 +197,17 @@
 			if s.candidates.isRegional(c.address) {
 				s.returns = 0
 			}
-			s.record(wasabistand.EventSessionUp, "", wasabistand.HeaderField{Name: "Control", Value: c.address})
+			s.record(wasabistand.EventSessionUp, "", wasabistand.HeaderField{Name: "Control", Value: c.address},
+				numberField("Held", c.heldRevision), revisionField(u.GetRevision()))
 		}
 		s.lastConfirmed.Store(time.Now().UnixNano())
 		if changed {
 			if !s.state.documentInvalid {
-				s.record(wasabistand.EventConfigReceived, "", revisionField(u.GetRevision()))
+				fields := []wasabistand.HeaderField{revisionField(u.GetRevision()), numberField("DocumentRevision", u.GetDocumentRevision()), {Name: "Control", Value: c.address}}
+				if u.GetAgeMs() > 0 {
+					fields = append(fields, numberField("AgeMs", u.GetAgeMs()))
+				}
+				s.record(wasabistand.EventConfigReceived, "", fields...)
 			}
 			// Send the renewal that reports the new revision at once, so that
 			// Status does not lag behind by a renewal interval.
--- a/wasabisession/state.go
+++ b/wasabisession/state.go
@@ -18,6 +18,7 @@
 type state struct {
 	self             string
 	hasConfiguration bool
+	source           string // the address of the control instance that sent the revision
 	revision         uint64 // the latest committed one received; never decreases
 	appliedRevision  uint64 // the latest revision whose document is applied
 	documentRevision uint64 // the revision of the latest document
@@ -213,12 +214,14 @@
 	s.state.dirty = false
 	v := &wasabistand.View{
 		Revision: s.state.appliedRevision, Configuration: s.state.configuration, Instances: maps.Clone(s.state.instances),
-		Drained: s.state.drained[s.id], ClaimAddresses: s.state.claimAddresses,
+		Drained: s.state.drained[s.id], ClaimAddresses: s.state.claimAddresses, Source: s.state.source,
 	}
 	old := s.published.Swap(&viewSnapshot{view: v, changed: make(chan struct{})})
 	close(old.changed)
 }
 
-func revisionField(n uint64) wasabistand.HeaderField {
-	return wasabistand.HeaderField{Name: "Revision", Value: strconv.FormatUint(n, 10)}
+func revisionField(n uint64) wasabistand.HeaderField { return numberField("Revision", n) }
+
+func numberField(name string, n uint64) wasabistand.HeaderField {
+	return wasabistand.HeaderField{Name: name, Value: strconv.FormatUint(n, 10)}
 }
