wasabiraft: a replica that can't campaign drops a silent leader

Callers saw: a control instance that took the place of another one answered every read with 503 and refused all sessions as not confirmed until it was started again, and its group stayed one voter short.

Cause: the leader told the new member of itself before the member's addition was committed, and stopped. The next leader has no such member and sends it nothing. A replica that is no voter never campaigns, and only a campaign dropped the leader, so the membership manager, which asks to join while no leader is known, never asked again.

Change: when its election timeout ends without a message of the leader, a replica that can't campaign drops the leader.

Evidence: TestJoiningReplicaDropsSilentLeader kept the leader before the change.

Why it works: the manager of an instance without a leader asks all members that it knows. One whose addition was lost is added then, and a learner whose leader only was silent learns of the next one by its heartbeat as before.

--- a/wasabiraft/election_test.go
+++ b/wasabiraft/election_test.go
@@ -26,6 +26,25 @@
 	}
 }
 
+// TestJoiningReplicaDropsSilentLeader guards against a joining member that waits for good
+// for a leader that stopped before the member's addition was committed.
+func TestJoiningReplicaDropsSilentLeader(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := wasabiraft.NewSettings()
+	r, err := wasabiraft.New(wasabiraft.Self{ID: "new", Address: "127.0.0.1:9", Storage: "x"}, s, wasabiraft.State{}, rand.New(rand.NewPCG(1, 1)), now)
+	assert.NilError(t, err)
+	r.Step(now, &wasabistandv1.GroupMessage{
+		Kind: wasabistandv1.GroupMessage_KIND_HEARTBEAT, From: "a", FromStorage: "y", FromAddress: "127.0.0.1:1", To: "new", Term: 2,
+	})
+	leader, _ := r.Leader()
+	assert.Equal(t, leader, "a")
+	for end := now.Add(2 * s.ElectionTimeout); !r.NextTick().After(end); {
+		r.Tick(r.NextTick())
+	}
+	leader, _ = r.Leader()
+	assert.Equal(t, leader, "")
+}
+
 // electionDelay starts the first replicas of five within startSpread after a loss of
 // power, on links
 // of 20 ms one way that the first message of each direction opens, and returns the time
--- a/wasabiraft/replica.go
+++ b/wasabiraft/replica.go
@@ -171,6 +171,9 @@
 	if r.canCampaign() {
 		r.campaign(now, false)
 	} else {
+		// The leader has been silent for an election timeout. A later one sends
+		// nothing to a member whose addition was lost, which must ask to join again.
+		r.leader = ""
 		r.resetElectionDeadline(now)
 	}
 }
