--- a/cmd/wasabiplatform/main.go
+++ b/cmd/wasabiplatform/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 
+	"github.com/wasabistand/wasabistand/internal/soak/wasabisoak"
 	"github.com/wasabistand/wasabistand/platform"
 )
 
@@ -16,6 +17,9 @@
 		if !errors.Is(err, flag.ErrHelp) {
 			fmt.Fprintln(os.Stderr, "wasabiplatform:", err)
 		}
+		if errors.Is(err, wasabisoak.ErrBroken) {
+			os.Exit(1)
+		}
 		os.Exit(2)
 	}
 }
