--- a/internal/soak/wasabioracle/answers.go
+++ b/internal/soak/wasabioracle/answers.go
@@ -134,6 +134,9 @@
 
 func (o *Oracle) count(a Answer, inTouch bool, confirmed *state) {
 	o.counts.Requests++
+	if inTouch {
+		o.counts.InTouch++
+	}
 	switch a.Outcome {
 	case Accepted:
 		o.counts.Served++
--- a/internal/soak/wasabioracle/oracle.go
+++ b/internal/soak/wasabioracle/oracle.go
@@ -108,6 +108,8 @@
 // Counts are figures that break no rule by themselves.
 type Counts struct {
 	Requests, Served, Refused, NotFound, Unclear int
+	// InTouch counts the requests that machines in touch answered.
+	InTouch int
 	// RefusedInTouch counts refusals by machines in touch.
 	RefusedInTouch int
 	// LateOutOfTouch counts answers that only an older version allows, by machines
--- a/internal/soak/wasabisoak/operator.go
+++ b/internal/soak/wasabisoak/operator.go
@@ -30,7 +30,7 @@
 	number  uint64
 	marker  string
 	routes  map[string]string
-	dropped []string // markers of earlier versions that it no longer has
+	dropped []string // markers of earlier versions that it no longer has, the last ones
 	moved   []string
 	invalid Invalidity
 	change  Change // what is sent, unchanged each time
@@ -84,12 +84,15 @@
 	}
 	slices.Sort(markers)
 	slices.Sort(moving)
-	const keptMarkers = 6
-	for len(markers) >= keptMarkers || len(markers) > 1 && o.random.IntN(3) == 0 {
-		k := o.random.IntN(len(markers))
+	// Markers stay for some versions, so that late nodes show on added routes and on
+	// dropped ones.
+	const minMarkers, maxMarkers = 6, 16
+	if n := len(markers); n >= maxMarkers || n > minMarkers && o.random.IntN(2) == 0 {
+		k := o.random.IntN(n)
 		delete(v.routes, markers[k])
-		v.dropped = append(v.dropped, markers[k])
-		markers = slices.Delete(markers, k, k+1)
+		v.dropped = append(base.dropped[max(0, len(base.dropped)-maxMarkers):len(base.dropped):len(base.dropped)], markers[k])
+	} else {
+		v.dropped = base.dropped
 	}
 	if o.random.IntN(2) == 0 {
 		p := moving[o.random.IntN(len(moving))]
@@ -281,10 +284,11 @@
 		if ctx.Err() != nil {
 			return
 		}
-		prefixes := []string{v.marker}
+		newest := o.newest()
+		prefixes := []string{v.marker, newest.marker}
 		switch kind := random.IntN(6); {
-		case kind == 0 && len(v.dropped) > 0:
-			prefixes = append(prefixes, v.dropped[random.IntN(len(v.dropped))])
+		case kind == 0 && len(newest.dropped) > 0:
+			prefixes = append(prefixes, newest.dropped[len(newest.dropped)-1-random.IntN(min(3, len(newest.dropped)))])
 		case kind == 1 && len(v.moved) > 0:
 			prefixes = append(prefixes, v.moved[0])
 		case kind == 2:
@@ -296,7 +300,7 @@
 			}
 			r.mu.Unlock()
 		}
-		for _, p := range prefixes {
+		for _, p := range slices.Compact(prefixes) {
 			r.call(ctx, m, p, false)
 		}
 	}
--- a/internal/soak/wasabisoak/plan.go
+++ b/internal/soak/wasabisoak/plan.go
@@ -96,10 +96,11 @@
 			ofNodes = append(ofNodes, k)
 		}
 	}
-	p.Faults = append(p.Faults, drawControl(rand.New(rand.NewPCG(s.Seed, 1)), s, ofControl, end)...)
+	windows := drawWindows(rand.New(rand.NewPCG(s.Seed, 5)), end)
+	p.Faults = append(p.Faults, drawControl(rand.New(rand.NewPCG(s.Seed, 1)), s, ofControl, windows)...)
 	p.Faults = append(p.Faults, drawNodes(rand.New(rand.NewPCG(s.Seed, 2)), s, ofNodes, end)...)
 	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return int(a.At - b.At) })
-	p.Rounds = drawRounds(rand.New(rand.NewPCG(s.Seed, 3)), s, end)
+	p.Rounds = drawRounds(rand.New(rand.NewPCG(s.Seed, 3)), s, windows, end)
 	return p
 }
 
@@ -116,27 +117,37 @@
 	return between(r, time.Second, 5*time.Second)
 }
 
-func drawControl(r *rand.Rand, s Settings, kinds []Kind, end time.Duration) (list []Fault) {
-	if len(kinds) == 0 {
-		return nil
-	}
+// window is a time in which control is disturbed. Calm times between windows are
+// longer than the contact window, since bounds hold for machines in touch only.
+type window struct{ begin, end time.Duration }
+
+func drawWindows(r *rand.Rand, end time.Duration) (list []window) {
 	for at := leadTime; ; {
-		// Faults that follow each other closely alternate with calm times in which
-		// machines are in touch.
-		if r.IntN(2) == 0 {
-			at += between(r, 50*time.Millisecond, 1500*time.Millisecond)
-		} else {
-			at += between(r, 3500*time.Millisecond, 8*time.Second)
-		}
+		at += between(r, 0, 6*time.Second)
 		if at >= end {
 			return list
 		}
-		f := Fault{At: at, For: downTime(r), Kind: kinds[r.IntN(len(kinds))], Target: r.IntN(s.Controls)}
-		if f.Kind == KillAll && r.IntN(2) == 0 {
-			f.Kind = kinds[r.IntN(len(kinds))]
+		w := window{at, min(at+between(r, 100*time.Millisecond, 4*time.Second), end)}
+		list = append(list, w)
+		at = w.end + between(r, 3500*time.Millisecond, 7*time.Second)
+	}
+}
+
+func drawControl(r *rand.Rand, s Settings, kinds []Kind, windows []window) (list []Fault) {
+	if len(kinds) == 0 {
+		return nil
+	}
+	const maxFaults = 4
+	for _, w := range windows {
+		for range 1 + r.IntN(maxFaults) {
+			f := Fault{At: between(r, w.begin, w.end), For: downTime(r), Kind: kinds[r.IntN(len(kinds))], Target: r.IntN(s.Controls)}
+			if f.Kind == KillAll && r.IntN(2) == 0 {
+				f.Kind = kinds[r.IntN(len(kinds))]
+			}
+			list = append(list, f)
 		}
-		list = append(list, f)
 	}
+	return list
 }
 
 func drawNodes(r *rand.Rand, s Settings, kinds []Kind, end time.Duration) (list []Fault) {
@@ -152,8 +163,7 @@
 	}
 }
 
-func drawRounds(r *rand.Rand, s Settings, end time.Duration) (list []Round) {
-	aims := s.Faults
+func drawRounds(r *rand.Rand, s Settings, windows []window, end time.Duration) (list []Round) {
 	for at := 500 * time.Millisecond; ; {
 		if r.IntN(3) == 0 {
 			at += between(r, 1500*time.Millisecond, 4*time.Second)
@@ -169,9 +179,17 @@
 		if r.IntN(3) == 0 {
 			round.Count = 5 + r.IntN(12)
 		}
-		aimed, hit, long := r.IntN(4) == 0, r.IntN(max(len(aims), 1)), downTime(r)
-		if aimed && at < end && len(aims) > 0 && aims[hit] != KillAll && aims[hit] != Busy {
-			round.Aim = Fault{Kind: aims[hit], For: long, Target: r.IntN(s.Nodes)}
+		aimed, hit, long := r.IntN(3) == 0, r.IntN(max(len(s.Faults), 1)), downTime(r)
+		disturbed := slices.ContainsFunc(windows, func(w window) bool { return w.begin <= at && at < w.end })
+		if aimed && at < end && len(s.Faults) > 0 {
+			switch k := s.Faults[hit]; k {
+			case FreezeNode, KillNode, StopNode, ReloadNode:
+				round.Aim = Fault{Kind: k, For: long, Target: r.IntN(s.Nodes)}
+			case FreezeControl, KillControl, StopControl:
+				if disturbed {
+					round.Aim = Fault{Kind: k, For: long}
+				}
+			}
 		}
 		list = append(list, round)
 	}
--- a/internal/soak/wasabisoak/report.go
+++ b/internal/soak/wasabisoak/report.go
@@ -18,14 +18,16 @@
 	Counts     wasabioracle.Counts
 	// OwnEnds describes the processes that ended without a signal of the run.
 	OwnEnds []string
-	Took    time.Duration
+	// Excerpts are lines of logs around some violations.
+	Excerpts []string
+	Took     time.Duration
 }
 
 func (r *run) report() Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return Report{Settings: r.settings, Plan: r.plan, Violations: slices.Clone(r.violations), Counts: r.oracle.Counts(),
-		OwnEnds: slices.Clone(r.ownEnds), Took: r.now()}
+		OwnEnds: slices.Clone(r.ownEnds), Excerpts: r.excerpts(r.violations), Took: r.now()}
 }
 
 // Broken reports whether a promise was broken or a process ended by itself.
@@ -42,7 +44,7 @@
 		r.Settings.Nodes, r.Settings.Cores, r.Settings.Duration, r.Took.Seconds()-r.Settings.Duration.Seconds(), r.Settings.Program)
 	fmt.Fprintf(&b, "logs and plan in %s\n", r.Settings.Folder)
 	fmt.Fprintf(&b, "changes: %d sent, %d acknowledged, %d later than the bound\n", c.ChangesSent, c.ChangesAcknowledged, c.SlowChanges)
-	fmt.Fprintf(&b, "requests: %d, %d served, %d without a route, %d refused (%d in touch), %d without a clear answer\n", c.Requests, c.Served, c.NotFound, c.Refused, c.RefusedInTouch, c.Unclear)
+	fmt.Fprintf(&b, "requests: %d, %d in touch, %d served, %d without a route, %d refused (%d in touch), %d without a clear answer\n", c.Requests, c.InTouch, c.Served, c.NotFound, c.Refused, c.RefusedInTouch, c.Unclear)
 	fmt.Fprintf(&b, "older than confirmed, out of touch: %d, of these lasting: %d; run held up: %d times\n", c.LateOutOfTouch, c.LastingOutOfTouch, c.Stalls)
 	for _, l := range r.OwnEnds {
 		fmt.Fprintln(&b, l)
@@ -61,6 +63,7 @@
 		}
 		fmt.Fprintln(&b, v)
 	}
+	fmt.Fprintf(&b, "\n%s\n\n%s", strings.Join(r.Excerpts, "\n"), r.Plan)
 	return b.String()
 }
 
