Soak: play control instances that catch up with a burst of changes

Change: fault lag-control freezes a control instance while operators send a burst through the others, with no change after it until the bounds have passed; -together places all nodes in the region of one control instance.

--- a/internal/soak/wasabisoak/machines.go
+++ b/internal/soak/wasabisoak/machines.go
@@ -35,6 +35,9 @@
 	process *wasabifleet.Process
 }
 
+// togetherControl is the number of a control instance that is the only one of its region.
+const togetherControl = 2
+
 // newMachines returns machines at addresses of one free network.
 func newMachines(s Settings, p Platform) (controls, nodes []*machine, err error) {
 	const attempts = 50
@@ -45,6 +48,9 @@
 			m := &machine{number: number}
 			host := len(controls) + len(nodes) + 1
 			l := locations[number%len(locations)]
+			if role == Node && s.Together {
+				l = locations[togetherControl]
+			}
 			m.Machine = Machine{IP: fmt.Sprintf("%s.%d", network, host), Role: role, FailureDomain: l.failureDomain, Region: l.region, Cores: s.Cores}
 			m.Name = fmt.Sprintf("control-%d", number)
 			if role == Node {
@@ -144,7 +150,7 @@
 	}
 	m := r.nodes[f.Target%len(r.nodes)]
 	switch f.Kind {
-	case FreezeControl, KillControl, StopControl:
+	case FreezeControl, LagControl, KillControl, StopControl:
 		m = r.controls[f.Target%len(r.controls)]
 		if !r.claimControl() {
 			return
@@ -160,7 +166,7 @@
 	case ReloadNode:
 		r.record(m, true, false)
 		m.signal(syscall.SIGHUP)
-	case FreezeControl, FreezeNode:
+	case FreezeControl, LagControl, FreezeNode:
 		r.record(m, false, false)
 		m.signal(syscall.SIGSTOP)
 		sleep(ctx, f.For)
--- a/internal/soak/wasabisoak/operator.go
+++ b/internal/soak/wasabisoak/operator.go
@@ -41,8 +41,10 @@
 	run    *run
 	random *rand.Rand // for what is changed, in the order of the plan
 	count  int
-	probes sync.WaitGroup
-	faults sync.WaitGroup
+	// avoided is a control instance that operators don't use, nil for none.
+	avoided *machine
+	probes  sync.WaitGroup
+	faults  sync.WaitGroup
 }
 
 func newOperators(r *run) *operators {
@@ -135,6 +137,11 @@
 		v.change = o.change(v, base.number)
 		o.send(ctx, v, base.number, false, nil)
 	}
+	if round.Behind.Kind != "" {
+		o.avoided = o.run.controls[round.Behind.Target]
+		defer func() { o.avoided = nil }()
+		o.faults.Go(func() { o.run.inject(ctx, round.Behind) })
+	}
 	for i := range round.Count {
 		if ctx.Err() != nil {
 			return
@@ -188,6 +195,9 @@
 	slow := false
 	for i := rand.IntN(len(r.controls)); ctx.Err() == nil && r.now()-began < maxOrderTime; i++ {
 		m := r.controls[i%len(r.controls)]
+		if m == o.avoided {
+			continue
+		}
 		if lose {
 			// The change may have arrived, and may be taken at any later time.
 			lost, cancel := context.WithTimeout(ctx, rand.N(maxLossTime))
--- a/internal/soak/wasabisoak/plan.go
+++ b/internal/soak/wasabisoak/plan.go
@@ -14,19 +14,22 @@
 // Kinds of faults.
 const (
 	FreezeControl Kind = "freeze-control" // SIGSTOP, then SIGCONT
-	KillControl   Kind = "kill-control"   // SIGKILL, then a new start
-	StopControl   Kind = "stop-control"   // SIGTERM, then a new start
-	KillAll       Kind = "kill-all"       // all control instances at once
-	FreezeNode    Kind = "freeze-node"
-	KillNode      Kind = "kill-node"
-	StopNode      Kind = "stop-node"
-	ReloadNode    Kind = "reload-node" // SIGHUP
-	Busy          Kind = "busy"        // a process that uses one core
+	// LagControl is a control instance that is frozen while a burst of changes is made.
+	// It then applies all of them at once. Operators use another one.
+	LagControl  Kind = "lag-control"
+	KillControl Kind = "kill-control" // SIGKILL, then a new start
+	StopControl Kind = "stop-control" // SIGTERM, then a new start
+	KillAll     Kind = "kill-all"     // all control instances at once
+	FreezeNode  Kind = "freeze-node"
+	KillNode    Kind = "kill-node"
+	StopNode    Kind = "stop-node"
+	ReloadNode  Kind = "reload-node" // SIGHUP
+	Busy        Kind = "busy"        // a process that uses one core
 )
 
 // Kinds returns all kinds of faults.
 func Kinds() []Kind {
-	return []Kind{FreezeControl, KillControl, StopControl, KillAll, FreezeNode, KillNode, StopNode, ReloadNode, Busy}
+	return []Kind{FreezeControl, LagControl, KillControl, StopControl, KillAll, FreezeNode, KillNode, StopNode, ReloadNode, Busy}
 }
 
 // ParseKinds parses a list of kinds that are separated by commas. "none" and "all"
@@ -67,6 +70,8 @@
 	// Aim is a fault that hits the control instance that acknowledged, or a node,
 	// as soon as the last change is acknowledged. It may be empty.
 	Aim Fault
+	// Behind is the fault of kind LagControl that starts with the round. It may be empty.
+	Behind Fault
 }
 
 // Plan is what one run injects. It depends on the settings only.
@@ -90,17 +95,19 @@
 	var ofControl, ofNodes []Kind
 	for _, k := range s.Faults {
 		switch k {
-		case FreezeControl, KillControl, StopControl, KillAll:
+		case FreezeControl, LagControl, KillControl, StopControl, KillAll:
 			ofControl = append(ofControl, k)
 		default:
 			ofNodes = append(ofNodes, k)
 		}
 	}
-	windows := drawWindows(rand.New(rand.NewPCG(s.Seed, 5)), end)
+	windows := drawWindows(rand.New(rand.NewPCG(s.Seed, 5)), end, ofControl)
 	p.Faults = append(p.Faults, drawControl(rand.New(rand.NewPCG(s.Seed, 1)), s, ofControl, windows)...)
 	p.Faults = append(p.Faults, drawNodes(rand.New(rand.NewPCG(s.Seed, 2)), s, ofNodes, end)...)
 	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return int(a.At - b.At) })
 	p.Rounds = drawRounds(rand.New(rand.NewPCG(s.Seed, 3)), s, windows, end)
+	p.Rounds = append(p.Rounds, drawCatchUps(rand.New(rand.NewPCG(s.Seed, 6)), s, windows)...)
+	slices.SortStableFunc(p.Rounds, func(a, b Round) int { return int(a.At - b.At) })
 	return p
 }
 
@@ -119,17 +126,39 @@
 
 // window is a time in which control is disturbed. Calm times between windows are
 // longer than the contact window, since bounds hold for machines in touch only.
-type window struct{ begin, end time.Duration }
+type window struct {
+	begin, end time.Duration
+	// catchUp is set for a window whose only fault is of kind LagControl. No change
+	// follows for calmAfter, since the next one would hide what was lost.
+	catchUp   bool
+	calmAfter time.Duration
+}
+
+// contains reports whether a time is in the window or in the calm time after it.
+func (w window) contains(at time.Duration) bool { return w.begin <= at && at < w.end+w.calmAfter }
+
+// Times of a window with a catch-up.
+const (
+	catchUpTime = 1500 * time.Millisecond
+	// catchUpCalm exceeds the contact window and the time in which a change must be in
+	// force.
+	catchUpCalm = 7500 * time.Millisecond
+)
 
-func drawWindows(r *rand.Rand, end time.Duration) (list []window) {
+func drawWindows(r *rand.Rand, end time.Duration, ofControl []Kind) (list []window) {
 	for at := leadTime; ; {
 		at += between(r, 0, 6*time.Second)
 		if at >= end {
 			return list
 		}
-		w := window{at, min(at+between(r, 100*time.Millisecond, 4*time.Second), end)}
+		w := window{begin: at, end: min(at+between(r, 100*time.Millisecond, 4*time.Second), end)}
+		calm := between(r, 3500*time.Millisecond, 7*time.Second)
+		if n := len(ofControl); n > 0 && ofControl[r.IntN(n)] == LagControl && at+catchUpTime < end {
+			w.end, w.catchUp, w.calmAfter = at+catchUpTime, true, catchUpCalm
+			calm = catchUpCalm
+		}
 		list = append(list, w)
-		at = w.end + between(r, 3500*time.Millisecond, 7*time.Second)
+		at = w.end + calm
 	}
 }
 
@@ -138,7 +167,11 @@
 		return nil
 	}
 	const maxFaults = 4
+	kinds = slices.DeleteFunc(slices.Clone(kinds), func(k Kind) bool { return k == LagControl })
 	for _, w := range windows {
+		if w.catchUp || len(kinds) == 0 {
+			continue
+		}
 		for range 1 + r.IntN(maxFaults) {
 			f := Fault{At: between(r, w.begin, w.end), For: downTime(r), Kind: kinds[r.IntN(len(kinds))], Target: r.IntN(s.Controls)}
 			if f.Kind == KillAll && r.IntN(2) == 0 {
@@ -174,13 +207,16 @@
 		if at >= end+quietTime/3 {
 			return list
 		}
+		if slices.ContainsFunc(windows, func(w window) bool { return w.catchUp && w.contains(at) }) {
+			continue
+		}
 		round := Round{At: at, Gap: between(r, 0, 120*time.Millisecond), Count: 1 + r.IntN(3),
 			Pair: r.IntN(4) == 0, Invalid: r.IntN(6) == 0, Lose: r.IntN(4) == 0, Resend: r.IntN(4) == 0}
 		if r.IntN(3) == 0 {
 			round.Count = 5 + r.IntN(12)
 		}
 		aimed, hit, long := r.IntN(3) == 0, r.IntN(max(len(s.Faults), 1)), downTime(r)
-		disturbed := slices.ContainsFunc(windows, func(w window) bool { return w.begin <= at && at < w.end })
+		disturbed := slices.ContainsFunc(windows, func(w window) bool { return !w.catchUp && w.contains(at) })
 		if aimed && at < end && len(s.Faults) > 0 {
 			switch k := s.Faults[hit]; k {
 			case FreezeNode, KillNode, StopNode, ReloadNode:
@@ -195,6 +231,24 @@
 	}
 }
 
+// drawCatchUps draws the rounds of the windows with a catch-up.
+func drawCatchUps(r *rand.Rand, s Settings, windows []window) (list []Round) {
+	for _, w := range windows {
+		if !w.catchUp {
+			continue
+		}
+		target := r.IntN(s.Controls)
+		if s.Together {
+			target = togetherControl
+		}
+		list = append(list, Round{
+			At: w.begin, Gap: between(r, 20*time.Millisecond, 80*time.Millisecond), Count: 8 + r.IntN(8),
+			Behind: Fault{Kind: LagControl, For: between(r, 400*time.Millisecond, 1200*time.Millisecond), Target: target},
+		})
+	}
+	return list
+}
+
 // String returns the plan with one event on each line.
 func (p Plan) String() string {
 	var b strings.Builder
@@ -202,8 +256,9 @@
 		fmt.Fprintf(&b, "fault %8.3f s %-14s %2d for %.3f s\n", f.At.Seconds(), f.Kind, f.Target, f.For.Seconds())
 	}
 	for _, r := range p.Rounds {
-		fmt.Fprintf(&b, "round %8.3f s %2d changes, gap %.3f s, pair %v, invalid %v, lose %v, resend %v, aim %s %d for %.3f s\n", r.At.Seconds(),
-			r.Count, r.Gap.Seconds(), r.Pair, r.Invalid, r.Lose, r.Resend, r.Aim.Kind, r.Aim.Target, r.Aim.For.Seconds())
+		fmt.Fprintf(&b, "round %8.3f s %2d changes, gap %.3f s, pair %v, invalid %v, lose %v, resend %v, aim %s %d for %.3f s, behind %s %d for %.3f s\n", r.At.Seconds(),
+			r.Count, r.Gap.Seconds(), r.Pair, r.Invalid, r.Lose, r.Resend, r.Aim.Kind, r.Aim.Target, r.Aim.For.Seconds(),
+			r.Behind.Kind, r.Behind.Target, r.Behind.For.Seconds())
 	}
 	return b.String()
 }
--- a/internal/soak/wasabisoak/plan_test.go
+++ b/internal/soak/wasabisoak/plan_test.go
@@ -33,6 +33,9 @@
 		}
 		for _, r := range p.Rounds {
 			assert.Assert(t, r.At < time.Minute && r.Count > 0, "%+v", r)
+			if r.Behind.Kind != "" {
+				faults[r.Behind.Kind]++
+			}
 			for _, c := range []struct {
 				set   bool
 				count *int
@@ -55,6 +58,7 @@
 	assert.Equal(t, len(p.Faults), 0)
 	for _, r := range p.Rounds {
 		assert.Equal(t, r.Aim.Kind, wasabisoak.Kind(""))
+		assert.Equal(t, r.Behind.Kind, wasabisoak.Kind(""))
 	}
 }
 
--- a/internal/soak/wasabisoak/soak.go
+++ b/internal/soak/wasabisoak/soak.go
@@ -27,6 +27,9 @@
 	Nodes    int
 	Controls int
 	Cores    int // of each process
+	// Together places all nodes in the region of one control instance, which then has
+	// all sessions.
+	Together bool
 	Faults   []Kind
 	Program  string // path of the program that the machines run
 	Folder   string // for settings, data and logs; it must exist
