wasabiraft: a read counts the responses to all of its requests

Callers saw: nothing that was traced to it yet. A control instance whose read barriers took longer than 400 ms confirmed nothing for as long as that lasted: it answered reads with 503, refused new sessions and ended all others after 1.2 s as not confirmed.

Cause: a batch of reads is requested again after two heartbeats, and remembered only the identity of the latest request. A response that took longer than the pause always came for a request that was forgotten.

Change: a batch remembers the identities of its latest 16 requests.

Evidence: TestSlowReadIsConfirmed, with messages of one heartbeat each way and thus responses after four, was not confirmed within 20 s before the change (arm64); the package's tests pass.

Why it works: each request was made after the callers of the batch had arrived, so that an index that a quorum confirmed for any of them covers what was committed before.

--- a/wasabiraft/read_barrier.go
+++ b/wasabiraft/read_barrier.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -14,10 +15,15 @@
 	done chan struct{}
 }
 
+// maxReadIDs bounds the requests of a batch whose responses may still come.
+const maxReadIDs = 16
+
 // readBatch is a group of callers that share one read.
 type readBatch struct {
 	waiters []*readWaiter
-	readID  uint64 // of the latest request, 0 for none
+	// readIDs are those of the latest requests. Each was made after the callers had
+	// arrived, so that the response to any of them confirms the batch.
+	readIDs []uint64
 	// index must be applied before the callers return. It is valid once
 	// confirmed is set.
 	index     uint64
@@ -76,7 +82,8 @@
 			}
 			b.waiters = list
 			if id, err := r.replica.Read(); err == nil {
-				b.readID, b.retryAt = id, now.Add(2*r.config.Settings.HeartbeatInterval)
+				b.readIDs = append(b.readIDs[max(len(b.readIDs)-maxReadIDs+1, 0):], id)
+				b.retryAt = now.Add(2 * r.config.Settings.HeartbeatInterval)
 			}
 		}
 		if len(b.waiters) > 0 {
@@ -93,7 +100,7 @@
 	kept := r.readBatches[:0]
 	for _, b := range r.readBatches {
 		for _, d := range reads {
-			if !b.confirmed && b.readID != 0 && d.ID == b.readID {
+			if !b.confirmed && slices.Contains(b.readIDs, d.ID) {
 				b.confirmed, b.index = true, d.Index
 			}
 		}
--- a/wasabiraft/runner_test.go
+++ b/wasabiraft/runner_test.go
@@ -69,6 +69,7 @@
 	nodes    map[string]*node
 	isolated map[string]bool          // members whose messages are dropped in both directions
 	fs       map[string]wasabidisk.FS // used instead of files on disk
+	delay    time.Duration            // of each message
 }
 
 type node struct {
@@ -95,13 +96,21 @@
 	g.mu.Lock()
 	n := g.nodes[to]
 	dropped := g.isolated[to] || len(list) > 0 && g.isolated[list[0].GetFrom()]
+	delay := g.delay
 	g.mu.Unlock()
 	if n == nil || dropped {
 		return
 	}
-	for _, m := range list {
-		n.runner.Step(m)
+	deliver := func() {
+		for _, m := range list {
+			n.runner.Step(m)
+		}
+	}
+	if delay > 0 {
+		time.AfterFunc(delay, deliver)
+		return
 	}
+	deliver()
 }
 
 func (g *group) start(id string, join bool) *node {
@@ -186,6 +195,22 @@
 	return wasabiraft.NewSettings().WithElection(150*time.Millisecond, 20*time.Millisecond)
 }
 
+// TestSlowReadIsConfirmed guards against reads that are never confirmed when their
+// responses take longer than the pause between two requests.
+func TestSlowReadIsConfirmed(t *testing.T) {
+	s := fastSettings().WithElection(time.Second, 20*time.Millisecond)
+	g := newGroup(t, 3, s)
+	ctx := testContext(t)
+	_, err := g.propose(ctx, []byte("x"))
+	assert.NilError(t, err)
+	g.mu.Lock()
+	g.delay = s.HeartbeatInterval
+	g.mu.Unlock()
+	for _, id := range g.ids() {
+		assert.NilError(t, g.node(id).runner.ReadBarrier(ctx), "at %s", id)
+	}
+}
+
 // TestGroupCommits guards against commands that are lost or reordered between
 // three members with files on disk, and against a restart that loses them.
 func TestGroupCommits(t *testing.T) {
