wasabilink: the end of a link waits for writers that start meanwhile

Callers saw: nothing. The race detector reported it.

Cause: Link.Close waits for the connection's writers. A stream that closed at the same time could start one after it had seen the connection open, while the wait had begun with none: the writer could go on after Close had returned.

Change: the wait takes the connection's mutex once after the close, under which writers start.

A test of a closing link and its streams alone did not show it in a dozen runs, so none is added.

Why it works: a writer that was about to start holds the mutex and is counted before the wait; one that comes later sees that the connection is closed.

--- a/wasabilink/frame.go
+++ b/wasabilink/frame.go
@@ -219,6 +219,16 @@
 	}
 }
 
+// waitForWriters waits until no writer runs. The connection must be closed.
+func (c *frameConn) waitForWriters() {
+	// A writer that another goroutine was starting when the connection was closed has
+	// started once the mutex is free; later ones see the close.
+	c.mu.Lock()
+	c.pending = nil
+	c.mu.Unlock()
+	c.writers.Wait()
+}
+
 // Close closes the connection. It takes no lock, because the readers of yamux
 // streams spin from the shutdown of a session until Close returns. A write in
 // progress fails, which wakes the writers that are blocked on it.
--- a/wasabilink/link.go
+++ b/wasabilink/link.go
@@ -276,7 +276,7 @@
 func (l *Link) Close() error {
 	l.end(Error.New("link closed"))
 	l.wait.Wait()
-	l.conn.writers.Wait()
+	l.conn.waitForWriters()
 	return nil
 }
 
