Compare what nodes hold with what they were sent

Callers saw 404 on routes of a confirmed change, at nodes with an open session, until the next change.

Cause: what a push recorded as sent was never compared with what the node reports when it renews, so any loss of a push lasted until the next change. Control also took a node to hold the document of the revision that it starts a session with, also where that document did not parse there; and a node put a revision in force whose update came without the document that it lacked.

Change: an acknowledgement of a renewal names the last update sent before it. Frames arrive in order, so a node that lacks that update, or its document, knows it at once; it renews with that and is sent the configuration again. Where a node only reports an earlier revision for a second, as those of earlier versions do, control sends it again too. A renewal that crosses a push is neither. Nodes report the revision of the document that they applied, at the start of a session and in renewals. The fields of the schema are added; both sides keep working beside earlier versions.

Control addresses and drains travel in the same update, whose number is compared, so their loss is noticed too.

--- a/wasabicontrol/hub.go
+++ b/wasabicontrol/hub.go
@@ -39,6 +39,7 @@
 
 	registry    *wasabimember.Registry
 	sessions    map[*session]struct{}
+	updates     uint64                           // configuration updates made, which numbers them
 	subscribers map[string]map[*session]struct{} // by service
 	pushedLists map[string]pushedList            // last list sent, by service
 	dirty       bool                             // lists may have changed since the last push
@@ -194,14 +195,14 @@
 
 // openSession adds a session after its group's quorum was confirmed. It returns a
 // refusal if the session is refused.
-func (h *hub) openSession(s *session, nodeRevision uint64, i wasabistand.Instance) refusal {
+func (h *hub) openSession(s *session, start *wasabistandv1.SessionStart, i wasabistand.Instance) refusal {
 	if h.stopping {
 		return refusal{reason: reasonStopping}
 	}
 	if len(h.sessions) >= h.instance.settings.maxSessions {
 		return refusal{reason: reasonFull}
 	}
-	c := s.group.machine.current.Load()
+	c, nodeRevision := s.group.machine.current.Load(), start.GetRevision()
 	if c.revision < nodeRevision {
 		// The node has a revision that was not copied to this group yet.
 		return refusal{reason: reasonNotConfirmed}
@@ -210,14 +211,14 @@
 		return r
 	}
 	h.sessions[s] = struct{}{}
-	// The node already has the document of the revision that it started with.
 	s.revision, s.documentRevision = nodeRevision, nodeRevision
+	if start.DocumentRevision != nil {
+		s.documentRevision = start.GetDocumentRevision()
+	}
 	withDocument := s.documentRevision < c.documentRevision
-	f := h.configurationFrame(c, withDocument)
 	now := time.Now()
 	s.lag = lag{reported: i.AppliedRevision, since: now}
-	s.recordSent(c, now)
-	h.send(s, f)
+	h.sendConfiguration(s, c, h.configurationFrame(c, withDocument), now)
 	h.logSessionStart(s, nodeRevision, withDocument)
 	return refusal{}
 }
@@ -261,7 +262,10 @@
 	if err := h.registry.Renew(now, s.id, s.incarnation, r.GetSequence(), revision); err != nil {
 		return "announce-again"
 	}
-	h.send(s, &wasabistandv1.ControlFrame{Kind: &wasabistandv1.ControlFrame_Renewed{Renewed: &wasabistandv1.RenewalAck{Sequence: r.GetSequence()}}})
+	h.resendMissing(s, r, now)
+	h.send(s, &wasabistandv1.ControlFrame{Kind: &wasabistandv1.ControlFrame_Renewed{Renewed: &wasabistandv1.RenewalAck{
+		Sequence: r.GetSequence(), Number: r.GetNumber(), Update: s.update,
+	}}})
 	return ""
 }
 
--- a/wasabicontrol/metrics.go
+++ b/wasabicontrol/metrics.go
@@ -14,6 +14,7 @@
 	claimsRefused prometheus.Counter
 	pushes        prometheus.Counter
 	aheadReports  prometheus.Counter
+	resends       prometheus.Counter
 	sent          sentBytes
 }
 
@@ -24,8 +25,9 @@
 		claimsRefused: prometheus.NewCounter(prometheus.CounterOpts{Name: "wasabi_control_claims_refused_total", Help: "Claim requests refused because the queue was full."}),
 		pushes:        prometheus.NewCounter(prometheus.CounterOpts{Name: "wasabi_control_pushes_total", Help: "Configuration updates sent to sessions."}),
 		aheadReports:  prometheus.NewCounter(prometheus.CounterOpts{Name: "wasabi_control_reports_ahead_total", Help: "Renewals that reported a later revision than the one sent."}),
+		resends:       prometheus.NewCounter(prometheus.CounterOpts{Name: "wasabi_control_resends_total", Help: "Configurations sent again because a node did not hold what it was sent."}),
 	}
-	m.registry.MustRegister(m.sessionsEnded, m.claimsRefused, m.pushes, m.aheadReports, &collector{instance: i})
+	m.registry.MustRegister(m.sessionsEnded, m.claimsRefused, m.pushes, m.aheadReports, m.resends, &collector{instance: i})
 	return m
 }
 
--- a/wasabicontrol/outbox.go
+++ b/wasabicontrol/outbox.go
@@ -55,6 +55,13 @@
 	return true
 }
 
+// isEmpty reports whether all frames were handed to the stream.
+func (o *outbox) isEmpty() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.bytes == 0
+}
+
 // sendPendingFor returns how long the current send has been waiting for the
 // peer, 0 for none.
 func (o *outbox) sendPendingFor(now time.Time) time.Duration {
--- a/wasabicontrol/push.go
+++ b/wasabicontrol/push.go
@@ -48,9 +48,7 @@
 			continue
 		}
 		p.sent++
-		f := p.frame(h, s)
-		s.recordSent(c, now)
-		h.send(s, f)
+		h.sendConfiguration(s, c, p.frame(h, s), now)
 	}
 	for g, p := range pushes {
 		h.logPush(g, p, now)
@@ -58,9 +56,17 @@
 	h.instance.triggerConfigCopy()
 }
 
+// sendConfiguration sends a session a frame made from a configuration, and records it.
+func (h *hub) sendConfiguration(s *session, c *configuration, f *wasabistandv1.ControlFrame, now time.Time) {
+	s.recordSent(c, now)
+	s.update = f.GetConfiguration().GetNumber()
+	h.send(s, f)
+}
+
 func (h *hub) configurationFrame(c *configuration, withDocument bool) *wasabistandv1.ControlFrame {
+	h.updates++
 	u := &wasabistandv1.ConfigurationUpdate{
-		Revision: c.revision, DocumentRevision: c.documentRevision, Drained: c.drained,
+		Number: h.updates, Revision: c.revision, DocumentRevision: c.documentRevision, Drained: c.drained,
 		ClaimHomes: h.directory.claimAddresses, ControlAddresses: h.directory.addresses, ControlRegions: h.directory.controlsByRegion,
 	}
 	if !c.appliedAt.IsZero() {
--- a/wasabicontrol/renewal_test.go
+++ b/wasabicontrol/renewal_test.go
@@ -8,8 +8,10 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
@@ -146,3 +148,86 @@
 	assert.NilError(t, err)
 	assert.Equal(t, status.Msg.GetInstances()[0].GetRevisionInForce(), third)
 }
+
+// renewUntilAck renews and returns the configuration that came before the
+// acknowledgement, nil for none.
+func (n *rawNode) renewUntilAck(r *wasabistandv1.Renewal) (u *wasabistandv1.ConfigurationUpdate) {
+	n.t.Helper()
+	n.renew(r)
+	for {
+		f := n.receive()
+		if f.GetRenewed() != nil {
+			return u
+		}
+		if f.GetConfiguration() != nil {
+			u = f.GetConfiguration()
+		}
+	}
+}
+
+// staleNode returns a node that was sent two revisions and holds the first.
+func (c *cluster) staleNode(t *testing.T) (n *rawNode, first, second uint64) {
+	t.Helper()
+	first = c.mustApply("control-1", 0, "first", "1s")
+	n = c.rawNode(t, "control-1", "raw-1", &wasabistandv1.SessionStart{})
+	n.configuration()
+	n.renewUntilAck(&wasabistandv1.Renewal{Sequence: 1, RevisionInForce: first})
+	second = c.mustApply("control-1", first, "second", "2s")
+	assert.Equal(t, n.configuration().GetRevision(), second)
+	return n, first, second
+}
+
+// Guards against a node that stays at an earlier revision after a push was lost, and
+// against resends to a node whose renewal has crossed a push.
+func TestLostPushIsSentAgain(t *testing.T) {
+	c := newCluster(t, 1, 0, nil)
+	n, first, second := c.staleNode(t)
+	old := &wasabistandv1.Renewal{Sequence: 1, RevisionInForce: first}
+	assert.Assert(t, n.renewUntilAck(old) == nil, "a renewal that crosses a push is no loss")
+	var again *wasabistandv1.ConfigurationUpdate
+	for k := 0; again == nil && k < 30; k++ {
+		time.Sleep(100 * time.Millisecond)
+		again = n.renewUntilAck(old)
+	}
+	assert.Equal(t, again.GetRevision(), second)
+	assert.Assert(t, len(again.GetDocument()) > 0)
+	assert.Assert(t, n.renewUntilAck(old) == nil, "resends are limited")
+}
+
+// Guards against a wait for a node that knows what it lacks, and against an update
+// without the document that the node lacks.
+func TestMissingUpdateIsSentAtOnce(t *testing.T) {
+	c := newCluster(t, 1, 0, nil)
+	n, first, second := c.staleNode(t)
+	r := &wasabistandv1.Renewal{Sequence: 1, RevisionInForce: first, Number: 1, DocumentRevision: first, LacksUpdate: true}
+	u := n.renewUntilAck(r)
+	assert.Equal(t, u.GetRevision(), second)
+	assert.Assert(t, len(u.GetDocument()) > 0)
+	assert.Assert(t, n.renewUntilAck(r) == nil, "resends are limited")
+	n.renewUntilAck(&wasabistandv1.Renewal{Sequence: 1, RevisionInForce: second, Number: 2, DocumentRevision: second})
+	third := c.mustApply("control-1", second, "third", "3s")
+	assert.Equal(t, n.configuration().GetRevision(), third)
+	r = &wasabistandv1.Renewal{Sequence: 1, RevisionInForce: second, Number: 3, DocumentRevision: third, LacksUpdate: true}
+	u = n.renewUntilAck(r)
+	assert.Equal(t, u.GetRevision(), third)
+	assert.Equal(t, len(u.GetDocument()), 0)
+}
+
+// Guards against a node that starts a session without the document of its revision and
+// is not sent it, also beside nodes of earlier versions.
+func TestSessionStartNamesDocument(t *testing.T) {
+	c := newCluster(t, 1, 0, nil)
+	revision := c.mustApply("control-1", 0, "first", "1s")
+	for _, test := range []struct {
+		id      string
+		start   *wasabistandv1.SessionStart
+		isWhole bool
+	}{
+		{"earlier-version", &wasabistandv1.SessionStart{Revision: revision}, false},
+		{"held", &wasabistandv1.SessionStart{Revision: revision, DocumentRevision: proto.Uint64(revision)}, false},
+		{"refused", &wasabistandv1.SessionStart{Revision: revision, DocumentRevision: proto.Uint64(0)}, true},
+	} {
+		u := c.rawNode(t, "control-1", test.id, test.start).configuration()
+		assert.Equal(t, len(u.GetDocument()) > 0, test.isWhole, test.id)
+	}
+}
--- a/wasabicontrol/session.go
+++ b/wasabicontrol/session.go
@@ -49,7 +49,9 @@
 	subscriptions    map[string]wasabimember.Feed // by service
 	revision         uint64                       // last revision sent
 	documentRevision uint64
+	update           uint64 // number of the last update sent
 	lag              lag
+	resend           resend
 	ending           bool
 }
 
@@ -122,7 +124,7 @@
 		return refusal{reason: reasonNotConfirmed}
 	}
 	r := refusal{reason: reasonStopping}
-	i.hub.do(func() { r = i.hub.openSession(s, first.GetStart().GetRevision(), instance) })
+	i.hub.do(func() { r = i.hub.openSession(s, first.GetStart(), instance) })
 	return r
 }
 
--- /dev/null
+++ b/wasabisession/renewal_test.go
@@ -0,0 +1,85 @@
+package wasabisession_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wasabistand/wasabistand"
+	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
+	"github.com/wasabistand/wasabistand/wasabisession"
+)
+
+// renewal returns the next renewal.
+func (s *fakeStream) renewal(t *testing.T) *wasabistandv1.Renewal {
+	t.Helper()
+	for {
+		var f wasabistandv1.NodeFrame
+		assert.NilError(t, s.Receive(&f))
+		if f.GetRenew() != nil {
+			return f.GetRenew()
+		}
+	}
+}
+
+func (s *fakeStream) acknowledge(t *testing.T, a *wasabistandv1.RenewalAck) {
+	t.Helper()
+	assert.NilError(t, s.Send(&wasabistandv1.ControlFrame{Kind: &wasabistandv1.ControlFrame_Renewed{Renewed: a}}))
+}
+
+// Guards against a node that does not notice that an update was lost.
+func TestMissingUpdateIsReported(t *testing.T) {
+	c := newControl(t)
+	newSession(t, wasabisession.NewOptions(c.address).WithRenewal(100*time.Millisecond, time.Minute))
+	k, _ := c.nextSession()
+	defer close(k.release)
+	k.sendConfiguration(t, &wasabistandv1.ConfigurationUpdate{Number: 1, Revision: 1, DocumentRevision: 1, Document: compact(t, document)})
+	r := k.renewal(t)
+	assert.Assert(t, !r.GetLacksUpdate())
+	k.acknowledge(t, &wasabistandv1.RenewalAck{Number: r.GetNumber(), Update: 1})
+	assert.Assert(t, !k.renewal(t).GetLacksUpdate())
+	k.acknowledge(t, &wasabistandv1.RenewalAck{Number: r.GetNumber() + 1, Update: 2})
+	for !r.GetLacksUpdate() {
+		r = k.renewal(t)
+		assert.Assert(t, r.GetNumber() < 50, "no renewal reports the update as missing")
+	}
+	assert.Equal(t, r.GetDocumentRevision(), uint64(1))
+	k.sendConfiguration(t, &wasabistandv1.ConfigurationUpdate{Number: 3, Revision: 2, DocumentRevision: 1})
+	for r = k.renewal(t); r.GetRevisionInForce() < 2; r = k.renewal(t) {
+		continue
+	}
+	assert.Assert(t, !r.GetLacksUpdate())
+}
+
+// Guards against a node that claims a revision whose document it was not sent, or could
+// not apply.
+func TestRevisionNeedsItsDocument(t *testing.T) {
+	c := newControl(t)
+	s, events := newSession(t, wasabisession.NewOptions(c.address).WithRenewal(time.Hour, time.Hour))
+	k, start := c.nextSession()
+	assert.Assert(t, start.DocumentRevision != nil)
+	k.sendConfiguration(t, &wasabistandv1.ConfigurationUpdate{Number: 1, Revision: 1, DocumentRevision: 1, Document: compact(t, document)})
+	assert.Equal(t, k.renewal(t).GetDocumentRevision(), uint64(1))
+	k.sendConfiguration(t, &wasabistandv1.ConfigurationUpdate{Number: 2, Revision: 2, DocumentRevision: 2})
+	r := k.renewal(t)
+	assert.Equal(t, r.GetRevisionInForce(), uint64(1))
+	assert.Assert(t, r.GetLacksUpdate())
+	assert.Equal(t, s.View().Revision, uint64(1))
+	k.sendConfiguration(t, &wasabistandv1.ConfigurationUpdate{Number: 3, Revision: 2, DocumentRevision: 2, Document: compact(t, document)})
+	r = k.renewal(t)
+	assert.Equal(t, r.GetRevisionInForce(), uint64(2))
+	assert.Assert(t, !r.GetLacksUpdate())
+	k.sendConfiguration(t, &wasabistandv1.ConfigurationUpdate{Number: 4, Revision: 3, DocumentRevision: 3, Document: compact(t, "Callers = 1")})
+	r = k.renewal(t)
+	assert.Equal(t, r.GetRevisionInForce(), uint64(2))
+	assert.Equal(t, r.GetDocumentRevision(), uint64(2))
+	assert.Assert(t, !r.GetLacksUpdate(), "a document that does not parse is sent again later")
+	events.await(wasabistand.EventConfigRefused)
+	k.sendRefusal(t, "stopping")
+	close(k.release)
+	k, start = c.nextSession()
+	defer close(k.release)
+	assert.Equal(t, start.GetRevision(), uint64(3))
+	assert.Equal(t, start.GetDocumentRevision(), uint64(2))
+}
--- a/wasabisession/session_stream.go
+++ b/wasabisession/session_stream.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/wasabistand/wasabistand"
 	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
 	"github.com/wasabistand/wasabistand/wasabilink"
@@ -27,6 +29,7 @@
 	// heldRevision is the revision that the node held when the session started.
 	heldRevision uint64
 	resync       bool
+	renewals
 	// homeReachable receives a value when a control instance of the node's region can
 	// be reached while the session is with one of another region.
 	homeReachable chan struct{}
@@ -81,7 +84,7 @@
 	s := c.session
 	s.state.resetVersions()
 	c.heldRevision = s.state.revision
-	start := &wasabistandv1.SessionStart{Revision: s.state.revision}
+	start := &wasabistandv1.SessionStart{Revision: s.state.revision, DocumentRevision: proto.Uint64(s.state.documentRevision)}
 	if !c.send(&wasabistandv1.NodeFrame{Kind: &wasabistandv1.NodeFrame_Start{Start: start}}) || !c.announce() || !c.sendSubscriptions() {
 		return reasonLinkLost, 0
 	}
@@ -185,7 +188,7 @@
 		if u.GetRevision() < s.state.revision {
 			return "older-revision", 0
 		}
-		changed := u.GetRevision() > s.state.revision
+		before, changed := s.state.appliedRevision, u.GetRevision() > s.state.revision
 		s.state.source = c.address
 		if err := s.state.applyConfiguration(u); err != nil {
 			s.record(wasabistand.EventConfigRefused, "parse", wasabistand.HeaderField{Name: "Error", Value: err.Error()})
@@ -201,8 +204,9 @@
 				numberField("Held", c.heldRevision), revisionField(u.GetRevision()))
 		}
 		s.lastConfirmed.Store(time.Now().UnixNano())
-		if changed {
-			if !s.state.documentInvalid {
+		c.update, c.lacksUpdate = max(c.update, u.GetNumber()), s.state.lacksDocument()
+		if changed || s.state.appliedRevision > before {
+			if s.state.appliedRevision > before {
 				fields := []wasabistand.HeaderField{revisionField(u.GetRevision()), numberField("DocumentRevision", u.GetDocumentRevision()), {Name: "Control", Value: c.address}}
 				if u.GetAgeMs() > 0 {
 					fields = append(fields, numberField("AgeMs", u.GetAgeMs()))
@@ -223,6 +227,9 @@
 	case *wasabistandv1.ControlFrame_Renewed:
 		c.lastAck = time.Now()
 		s.lastConfirmed.Store(c.lastAck.UnixNano())
+		if c.isFirstWithout(k.Renewed) && !c.renew() {
+			return reasonLinkLost, 0
+		}
 	case *wasabistandv1.ControlFrame_Refusal:
 		after = min(time.Duration(k.Refusal.GetRetryAfterMs())*time.Millisecond, maxRetryAfter)
 		if reason = k.Refusal.GetReason(); reason == "" || len(reason) > wasabiwire.MaxNameBytes {
@@ -246,14 +253,6 @@
 	return c.send(&wasabistandv1.NodeFrame{Kind: &wasabistandv1.NodeFrame_Announce{Announce: wasabiwire.FromInstance(i)}})
 }
 
-// renew sends a renewal with the sequence number of the announcement to renew.
-func (c *sessionStream) renew() bool {
-	c.session.mu.Lock()
-	r := &wasabistandv1.Renewal{Sequence: c.session.self.Sequence, RevisionInForce: c.session.state.appliedRevision}
-	c.session.mu.Unlock()
-	return c.send(&wasabistandv1.NodeFrame{Kind: &wasabistandv1.NodeFrame_Renew{Renew: r}})
-}
-
 func (c *sessionStream) sendSubscriptions() bool {
 	c.resync = false
 	var services []string
--- a/wasabisession/state.go
+++ b/wasabisession/state.go
@@ -21,8 +21,9 @@
 	source           string // the address of the control instance that sent the revision
 	revision         uint64 // the latest committed one received; never decreases
 	appliedRevision  uint64 // the latest revision whose document is applied
-	documentRevision uint64 // the revision of the latest document
-	documentInvalid  bool   // the latest document did not parse
+	documentRevision uint64 // the revision of the applied document
+	neededDocument   uint64 // the revision of the document of the latest revision
+	refusedDocument  uint64 // the latest document that did not parse, 0 for none
 	configuration    *wasabistand.Configuration
 	drained          map[string]bool
 	claimAddresses   map[string][]string
@@ -47,17 +48,19 @@
 }
 
 // applyConfiguration applies an update that is not older than the current one.
-// If its document does not parse, the previous configuration stays active.
+// If its document does not parse or is missing, the previous configuration stays active.
 func (s *state) applyConfiguration(u *wasabistandv1.ConfigurationUpdate) (err error) {
-	if u.GetDocumentRevision() > s.documentRevision && len(u.GetDocument()) > 0 {
+	s.neededDocument = u.GetDocumentRevision()
+	if s.neededDocument > s.documentRevision && len(u.GetDocument()) > 0 {
 		var c *wasabistand.Configuration
 		if c, err = parseCompact(u.GetDocument()); err == nil {
-			s.configuration = c
+			s.configuration, s.documentRevision = c, s.neededDocument
+		} else {
+			s.refusedDocument = s.neededDocument
 		}
-		s.documentRevision, s.documentInvalid = u.GetDocumentRevision(), err != nil
 	}
 	s.hasConfiguration, s.dirty, s.revision = true, true, u.GetRevision()
-	if !s.documentInvalid {
+	if s.documentRevision >= s.neededDocument {
 		s.appliedRevision = s.revision
 	}
 	drained := make(map[string]bool, len(u.GetDrained()))
@@ -76,6 +79,12 @@
 	return err
 }
 
+// lacksDocument reports whether the latest revision came without its document, which is
+// not the one that was applied.
+func (s *state) lacksDocument() bool {
+	return s.documentRevision < s.neededDocument && s.refusedDocument != s.neededDocument
+}
+
 func parseCompact(document []byte) (*wasabistand.Configuration, error) {
 	text, err := wasabiconfig.Expand(document)
 	if err != nil {
