Notice a lost change of an instance list at the next renewal

Cause: a delta that does not follow the node's version shows that an earlier one was lost, but only the next change of the same service brings one. Until then the node places calls by a list that lacks instances or holds ones that left.

Change: acknowledgements of renewals carry one digest over the versions of all complete lists sent on the session; a node with others asks for its lists again, with the request that it has for lists that don't match. While that does not help, it asks at the 2nd, 4th and up to each 64th renewal. The nodes of the other tests check that none asks without a loss.

--- a/event.go
+++ b/event.go
@@ -47,6 +47,7 @@
 	EventLinkSilent      EventKind = "link.silent"
 	EventSessionUp       EventKind = "session.up"
 	EventSessionDown     EventKind = "session.down"
+	EventListsResent     EventKind = "lists.requested"
 	EventGroupLeader     EventKind = "group.leader"
 	EventGroupMembers    EventKind = "group.members"
 	EventLeaseExpired    EventKind = "lease.expired"
--- a/wasabicontrol/cluster_test.go
+++ b/wasabicontrol/cluster_test.go
@@ -232,6 +232,8 @@
 	sessionEnds chan wasabistand.Reason
 	// silent is incremented to make all open connections drop data.
 	silent atomic.Int32
+	// listRequests counts the requests for lists that were sent already.
+	listRequests atomic.Int32
 }
 
 // dial opens a connection that drops written data once n.silent is incremented.
@@ -248,6 +250,9 @@
 
 // Record implements wasabistand.Recorder.
 func (n *node) Record(e wasabistand.Event) {
+	if e.Kind == wasabistand.EventListsResent {
+		n.listRequests.Add(1)
+	}
 	if e.Kind == wasabistand.EventSessionDown {
 		select {
 		case n.sessionEnds <- e.Reason:
@@ -266,7 +271,11 @@
 	n.pool = wasabilink.NewPool(wasabilink.NewOptions("test", id, incarnation).WithDial(n.dial), nil)
 	o := wasabisession.NewOptions(addresses...).WithBackoff(20*time.Millisecond, 50*time.Millisecond, 500*time.Millisecond)
 	n.Session = wasabisession.New(o, n.pool, instance(id, service, incarnation), n)
-	c.t.Cleanup(n.close)
+	c.t.Cleanup(func() {
+		n.close()
+		// No test loses a frame within a session.
+		assert.Check(c.t, n.listRequests.Load() == 0, "%s asked for lists that it was sent", id)
+	})
 	return n
 }
 
--- a/wasabicontrol/hub.go
+++ b/wasabicontrol/hub.go
@@ -264,7 +264,7 @@
 	}
 	h.resendMissing(s, r, now)
 	h.send(s, &wasabistandv1.ControlFrame{Kind: &wasabistandv1.ControlFrame_Renewed{Renewed: &wasabistandv1.RenewalAck{
-		Sequence: r.GetSequence(), Number: r.GetNumber(), Update: s.update,
+		Sequence: r.GetSequence(), Number: r.GetNumber(), Update: s.update, Lists: s.listsDigest(),
 	}}})
 	return ""
 }
--- a/wasabicontrol/lists.go
+++ b/wasabicontrol/lists.go
@@ -98,3 +98,15 @@
 		h.send(s, u.frame)
 	}
 }
+
+// listsDigest returns the digest of the versions of the complete lists that a session was
+// sent.
+func (s *session) listsDigest() uint64 {
+	return wasabimember.VersionsDigest(func(yield func(string, uint64) bool) {
+		for service, feed := range s.subscriptions {
+			if !yield(service, feed.Version()) {
+				return
+			}
+		}
+	})
+}
--- a/wasabicontrol/renewal_test.go
+++ b/wasabicontrol/renewal_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strings"
 	"sync"
@@ -16,6 +17,7 @@
 
 	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
 	"github.com/wasabistand/wasabistand/wasabilink"
+	"github.com/wasabistand/wasabistand/wasabimember"
 	"github.com/wasabistand/wasabistand/wasabiwire"
 )
 
@@ -231,3 +233,40 @@
 		assert.Equal(t, len(u.GetDocument()) > 0, test.isWhole, test.id)
 	}
 }
+
+// Guards against acknowledgements that don't name the lists as they were sent before, so
+// that nodes ask for lists that they have.
+func TestAcknowledgementNamesLists(t *testing.T) {
+	c := newCluster(t, 1, 0, nil)
+	revision := c.mustApply("control-1", 0, "first", "1s")
+	n := c.rawNode(t, "control-1", "raw-1", &wasabistandv1.SessionStart{})
+	versions := map[string]uint64{}
+	// check renews and compares the lists that came before the acknowledgement.
+	check := func() {
+		t.Helper()
+		n.renew(&wasabistandv1.Renewal{Sequence: 1, RevisionInForce: revision, Number: 1})
+		for {
+			f := n.receive()
+			if d := f.GetMembership(); d != nil && !d.GetPartial() {
+				versions[d.GetService()] = d.GetVersion()
+			}
+			if a := f.GetRenewed(); a != nil {
+				assert.Equal(t, a.GetLists(), wasabimember.VersionsDigest(maps.All(versions)))
+				return
+			}
+		}
+	}
+	check()
+	n.send(&wasabistandv1.NodeFrame{Kind: &wasabistandv1.NodeFrame_Interest{Interest: &wasabistandv1.Interest{Services: map[string]uint64{"archive": 0, "reports": 0}}}})
+	for k := 0; len(versions) < 2; k++ {
+		check()
+		time.Sleep(10 * time.Millisecond)
+	}
+	before := versions["archive"]
+	c.node("archive-1", "archive", 1, "control-1")
+	for versions["archive"] == before {
+		check()
+		time.Sleep(10 * time.Millisecond)
+	}
+	check()
+}
--- a/wasabimember/feed.go
+++ b/wasabimember/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"iter"
 	"maps"
 	"slices"
 
@@ -30,6 +31,22 @@
 // none. hasList is true if it has the list of another control instance.
 func NewFeed(version uint64, hasList bool) Feed { return Feed{complete: version, hasList: hasList} }
 
+// Version returns the version of the complete list that the node was sent, 0 for none.
+func (f Feed) Version() uint64 { return f.complete }
+
+// VersionsDigest returns a hash of the versions of lists by service, in any order. Lists
+// with version 0 don't count. It is never 0.
+func VersionsDigest(versions iter.Seq2[string, uint64]) uint64 {
+	var sum uint64
+	var buffer [256]byte
+	for service, version := range versions {
+		if version != 0 {
+			sum += xxhash.Sum64(append(binary.AppendUvarint(buffer[:0], version), service...))
+		}
+	}
+	return max(sum, 1)
+}
+
 // Update returns what a node must be sent of a service's list, nil if nothing, and
 // its feed after that. complete is true if the registry knows all instances; until
 // then the node is only sent additions to the list that it has, and instances that
--- a/wasabisession/renewal.go
+++ b/wasabisession/renewal.go
@@ -1,6 +1,12 @@
 package wasabisession
 
-import wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
+import (
+	"maps"
+
+	"github.com/wasabistand/wasabistand"
+	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
+	"github.com/wasabistand/wasabistand/wasabimember"
+)
 
 // renewals holds what the renewals of one session tell control about the node. Frames
 // arrive in the order in which control sent them, so that an acknowledgement shows
@@ -11,6 +17,12 @@
 	// lacksUpdate is true while an update that was sent did not arrive, or came without
 	// its document.
 	lacksUpdate bool
+	// checkListsAfter is the number of the last renewal whose acknowledgement does not
+	// tell whether an instance list is missing: the lists were asked for after it, or
+	// what was asked for before did not help.
+	checkListsAfter uint64
+	// listResends counts the times in a row that the lists were asked for.
+	listResends int
 }
 
 // isFirstWithout compares what arrived with what an acknowledgement says was sent, and
@@ -24,6 +36,30 @@
 	return true
 }
 
+// maxListResendShift bounds the time between two requests for all lists, which doubles
+// while they don't help, to 64 renewals.
+const maxListResendShift = 6
+
+// checkLists compares the versions of the instance lists with those that an
+// acknowledgement says were sent, and asks for all lists if they differ.
+func (c *sessionStream) checkLists(a *wasabistandv1.RenewalAck) {
+	if a.GetLists() == 0 || a.GetNumber() <= c.checkListsAfter || c.resync {
+		return
+	}
+	state := &c.session.state
+	if wasabimember.VersionsDigest(maps.All(state.versions)) == a.GetLists() {
+		c.listResends = 0
+		return
+	}
+	c.session.subscriptions.Range(func(k, _ any) bool {
+		state.requestResend(k.(string))
+		return true
+	})
+	c.resync = true
+	c.listResends++
+	c.session.record(wasabistand.EventListsResent, "", wasabistand.HeaderField{Name: "Control", Value: c.address}, numberField("Lists", uint64(len(state.resend))))
+}
+
 // renew sends a renewal with the sequence number of the announcement to renew.
 func (c *sessionStream) renew() bool {
 	c.number++
--- a/wasabisession/renewal_test.go
+++ b/wasabisession/renewal_test.go
@@ -1,6 +1,8 @@
 package wasabisession_test
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -8,6 +10,7 @@
 
 	"github.com/wasabistand/wasabistand"
 	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
+	"github.com/wasabistand/wasabistand/wasabimember"
 	"github.com/wasabistand/wasabistand/wasabisession"
 )
 
@@ -83,3 +86,59 @@
 	assert.Equal(t, start.GetRevision(), uint64(3))
 	assert.Equal(t, start.GetDocumentRevision(), uint64(2))
 }
+
+// Guards against a node that misses instances until the next change of their service,
+// because a delta was lost.
+func TestLostDeltaIsNoticed(t *testing.T) {
+	c := newControl(t)
+	s, _ := newSession(t, wasabisession.NewOptions(c.address).WithRenewal(50*time.Millisecond, time.Minute))
+	s.Subscribe("archive")
+	k, _ := c.nextSession()
+	defer close(k.release)
+	send := func(version uint64, ids ...string) {
+		d := &wasabistandv1.MembershipDelta{Service: "archive", Version: version}
+		for _, id := range ids {
+			d.Upserts = append(d.Upserts, &wasabistandv1.Instance{Id: id, Service: "archive", LinkAddress: "127.0.0.1:2", Region: "here", FailureDomain: "a", Slots: 1, Connections: 1, State: wasabistandv1.InstanceState_INSTANCE_STATE_READY})
+		}
+		assert.NilError(t, k.Send(&wasabistandv1.ControlFrame{Kind: &wasabistandv1.ControlFrame_Membership{Membership: d}}))
+	}
+	digest := func(version uint64) uint64 {
+		return wasabimember.VersionsDigest(maps.All(map[string]uint64{"archive": version, "other": 0}))
+	}
+	// asked returns whether the list is asked for before the next renewal, which is
+	// acknowledged.
+	asked := func(version uint64) (isAsked bool) {
+		for {
+			var f wasabistandv1.NodeFrame
+			assert.NilError(t, k.Receive(&f))
+			isAsked = isAsked || slices.Contains(f.GetInterest().GetResend(), "archive")
+			if r := f.GetRenew(); r != nil {
+				k.acknowledge(t, &wasabistandv1.RenewalAck{Number: r.GetNumber(), Lists: digest(version)})
+				return isAsked
+			}
+		}
+	}
+	k.sendConfiguration(t, &wasabistandv1.ConfigurationUpdate{Revision: 1})
+	send(3, "archive-1")
+	awaitView(s, func(v *wasabistand.View) bool { return len(v.Instances["archive"]) == 1 })
+	for range 4 {
+		assert.Assert(t, !asked(3))
+	}
+	// The delta to version 4 is lost.
+	for k := 0; !asked(4); k++ {
+		assert.Assert(t, k < 20, "the list is not asked for")
+	}
+	requests := 0
+	for range 20 {
+		if asked(4) {
+			requests++
+		}
+	}
+	assert.Assert(t, requests <= 4, "%d of 20 renewals asked for the lists", requests)
+	send(4, "archive-1", "archive-2")
+	awaitView(s, func(v *wasabistand.View) bool { return len(v.Instances["archive"]) == 2 })
+	_ = asked(4)
+	for range 4 {
+		assert.Assert(t, !asked(4))
+	}
+}
--- a/wasabisession/session_stream.go
+++ b/wasabisession/session_stream.go
@@ -227,6 +227,7 @@
 	case *wasabistandv1.ControlFrame_Renewed:
 		c.lastAck = time.Now()
 		s.lastConfirmed.Store(c.lastAck.UnixNano())
+		c.checkLists(k.Renewed)
 		if c.isFirstWithout(k.Renewed) && !c.renew() {
 			return reasonLinkLost, 0
 		}
@@ -255,6 +256,8 @@
 
 func (c *sessionStream) sendSubscriptions() bool {
 	c.resync = false
+	// The lists are sent before the acknowledgement of a later renewal.
+	c.checkListsAfter = c.number + 1<<min(c.listResends, maxListResendShift) - 1
 	var services []string
 	c.session.subscriptions.Range(func(k, _ any) bool {
 		services = append(services, k.(string))
