Date the confirmation of a node's configuration

A node counted itself as confirmed at the moment at which any update or acknowledgement arrived. The ages were those of the time of day, which may be set back.

Change: renewals are numbered. The acknowledgement names the revision that the control instance has applied and how long ago its quorum last began to confirm its state. It counts only if the node has applied that revision, and then from the time at which the node sent the renewal, by the node's clock, less that age. So all changes that were committed before that time are applied at the node. The first update of a session counts from the start of the session, after which control confirms its state; pushes don't count.

Clocks: ages that say how fresh something is take the longer one of the steady clock and the time of day, since the steady clock stands still while a machine is suspended. Control ends sessions by the steady clock alone: a step of the time of day ended all its sessions, or kept them open for the length of the step.

Acknowledgements of earlier versions have no number and confirm at their arrival, as before.

--- a/wasabicontrol/confirmer.go
+++ b/wasabicontrol/confirmer.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/wasabistand/wasabistand"
+	"github.com/wasabistand/wasabistand/wasabievent"
 )
 
 // confirmer confirms the state of one group with its quorum and coalesces
@@ -15,7 +17,7 @@
 type confirmer struct {
 	log           wasabistand.ReplicatedLog
 	timeout       time.Duration
-	lastConfirmed atomic.Int64 // start of the latest successful round, Unix ns
+	lastConfirmed atomic.Pointer[time.Time] // start of the latest successful round
 
 	mu      sync.Mutex
 	next    *round
@@ -79,7 +81,7 @@
 		if err := c.log.ReadBarrier(ctx); err != nil {
 			r.err = wasabistand.ErrNotConfirmed.Wrap(err)
 		} else {
-			c.lastConfirmed.Store(start.UnixNano())
+			c.lastConfirmed.Store(&start)
 		}
 		cancel()
 		close(r.done)
@@ -87,9 +89,22 @@
 }
 
 // sinceConfirmed returns the time since the start of the latest round in which
-// the quorum confirmed the state.
+// the quorum confirmed the state, by the steady clock, so that a step of the time of day
+// neither ends sessions nor keeps them open. It is the longest duration before the first
+// such round.
 func (c *confirmer) sinceConfirmed(now time.Time) time.Duration {
-	return now.Sub(time.Unix(0, c.lastConfirmed.Load()))
+	if at := c.lastConfirmed.Load(); at != nil {
+		return now.Sub(*at)
+	}
+	return math.MaxInt64
+}
+
+// age is like sinceConfirmed, but includes the time for which the machine was suspended.
+func (c *confirmer) age(now time.Time) time.Duration {
+	if at := c.lastConfirmed.Load(); at != nil {
+		return wasabievent.Elapsed(now, *at)
+	}
+	return math.MaxInt64
 }
 
 // firstRoundPause is the pause between the rounds before the first confirmation. Rounds
@@ -101,7 +116,7 @@
 func (c *confirmer) confirmFirst(ctx context.Context) error {
 	for {
 		err := c.confirm(ctx)
-		if err == nil || c.lastConfirmed.Load() != 0 {
+		if err == nil || c.lastConfirmed.Load() != nil {
 			return err
 		}
 		pause := time.NewTimer(firstRoundPause)
@@ -121,7 +136,7 @@
 // the timeout. Before the first confirmation, as during the election after a start of
 // all, it returns false.
 func (c *confirmer) hasLostQuorum(now time.Time, timeout time.Duration) bool {
-	return c.lastConfirmed.Load() != 0 && c.sinceConfirmed(now) > timeout
+	return c.lastConfirmed.Load() != nil && c.sinceConfirmed(now) > timeout
 }
 
 func (c *confirmer) close() {
--- a/wasabicontrol/hub.go
+++ b/wasabicontrol/hub.go
@@ -263,8 +263,13 @@
 		return "announce-again"
 	}
 	h.resendMissing(s, r, now)
+	// The revision is loaded after the age of the confirmation, so that it includes all
+	// that was confirmed then.
+	age := s.group.confirmer.age(now)
+	revision = s.group.machine.current.Load().revision
 	h.send(s, &wasabistandv1.ControlFrame{Kind: &wasabistandv1.ControlFrame_Renewed{Renewed: &wasabistandv1.RenewalAck{
 		Sequence: r.GetSequence(), Number: r.GetNumber(), Update: s.update, Lists: s.listsDigest(),
+		Revision: revision, ConfirmedMsAgo: uint64(max(age, 0).Milliseconds()) + 1,
 	}}})
 	return ""
 }
--- a/wasabicontrol/renewal_test.go
+++ b/wasabicontrol/renewal_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
+	"github.com/wasabistand/wasabistand/wasabicontrol"
 	"github.com/wasabistand/wasabistand/wasabilink"
 	"github.com/wasabistand/wasabistand/wasabimember"
 	"github.com/wasabistand/wasabistand/wasabiwire"
@@ -270,3 +271,35 @@
 	}
 	check()
 }
+
+// Guards against a control instance that acknowledges renewals as if its quorum had just
+// confirmed its state, while others commit changes.
+func TestAcknowledgementNamesAgeOfConfirmation(t *testing.T) {
+	c := newCluster(t, 3, 0, func(s wasabicontrol.Settings) wasabicontrol.Settings {
+		return s.WithConfirm(200*time.Millisecond, 100*time.Millisecond, waitTimeout)
+	})
+	first := c.mustApply("control-1", 0, "first", "1s")
+	n := c.rawNode(t, "control-1", "raw-1", &wasabistandv1.SessionStart{})
+	n.configuration()
+	renew := func() *wasabistandv1.RenewalAck {
+		n.renew(&wasabistandv1.Renewal{Sequence: 1, RevisionInForce: first, Number: 1})
+		return n.ack()
+	}
+	for renew().GetConfirmedMsAgo() > 150 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.Equal(t, renew().GetRevision(), first)
+	c.sides["control-1"].Store(1)
+	cut := time.Now()
+	second := c.mustApply("control-2", first, "second", "2s")
+	time.Sleep(max(0, time.Until(cut.Add(time.Second))))
+	a := renew()
+	assert.Equal(t, a.GetRevision(), first)
+	// A round may have begun just before the cut.
+	assert.Assert(t, a.GetConfirmedMsAgo() >= 700, "%d ms", a.GetConfirmedMsAgo())
+	c.sides["control-1"].Store(0)
+	for a.GetRevision() < second || a.GetConfirmedMsAgo() > 150 {
+		time.Sleep(10 * time.Millisecond)
+		a = renew()
+	}
+}
--- a/wasabisession/renewal.go
+++ b/wasabisession/renewal.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"time"
 
 	"github.com/wasabistand/wasabistand"
 	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
@@ -13,6 +14,8 @@
 // whether an update that was sent before it is missing.
 type renewals struct {
 	number uint64 // of the last renewal
+	// sentAt holds the times of the last renewals by number modulo their count.
+	sentAt [maxTimedRenewals]time.Time
 	update uint64 // number of the last configuration update that arrived
 	// lacksUpdate is true while an update that was sent did not arrive, or came without
 	// its document.
@@ -25,6 +28,30 @@
 	listResends int
 }
 
+// maxTimedRenewals bounds the renewals whose acknowledgements can confirm the
+// configuration. It allows for a burst of changes, each of which is reported, while an
+// acknowledgement takes seconds.
+const maxTimedRenewals = 64
+
+// confirm records what an acknowledgement confirms: that the applied configuration was the
+// latest one when control last confirmed its state before the renewal was sent. The time
+// is the node's own and that of the renewal, since the acknowledgement may have waited on
+// the way, or for a process that stood still.
+func (c *sessionStream) confirm(a *wasabistandv1.RenewalAck) {
+	s := c.session
+	switch n := a.GetNumber(); {
+	case n == 0:
+		// A control instance of an earlier version.
+		s.confirm(time.Now())
+	case n <= c.number && c.number-n < maxTimedRenewals && s.state.appliedRevision >= a.GetRevision():
+		age := time.Duration(min(a.GetConfirmedMsAgo(), maxConfirmedMsAgo)) * time.Millisecond
+		s.confirm(c.sentAt[n%maxTimedRenewals].Add(-age))
+	}
+}
+
+// maxConfirmedMsAgo prevents an overflow by an invalid value.
+const maxConfirmedMsAgo = 1 << 40
+
 // isFirstWithout compares what arrived with what an acknowledgement says was sent, and
 // reports whether it is the first one that shows a missing update. Then the node renews
 // at once; later renewals repeat it once in an interval.
@@ -63,6 +90,7 @@
 // renew sends a renewal with the sequence number of the announcement to renew.
 func (c *sessionStream) renew() bool {
 	c.number++
+	c.sentAt[c.number%maxTimedRenewals] = time.Now()
 	s := c.session
 	s.mu.Lock()
 	r := &wasabistandv1.Renewal{
--- a/wasabisession/renewal_test.go
+++ b/wasabisession/renewal_test.go
@@ -142,3 +142,59 @@
 		assert.Assert(t, !asked(4))
 	}
 }
+
+// Guards against a node that counts as confirmed by what says nothing about the latest
+// committed revision: an acknowledgement of a later revision than its own, one of a state
+// that was confirmed long ago, one that waited, or an update of an instance that lags.
+func TestConfirmationHasAge(t *testing.T) {
+	const wait = 200 * time.Millisecond
+	c := newControl(t)
+	s, _ := newSession(t, wasabisession.NewOptions(c.address).WithRenewal(time.Hour, time.Hour))
+	k, _ := c.nextSession()
+	defer close(k.release)
+	time.Sleep(wait)
+	var number uint64
+	// push sends a revision and returns once the node has reported it.
+	push := func(revision uint64) {
+		t.Helper()
+		k.sendConfiguration(t, &wasabistandv1.ConfigurationUpdate{Revision: revision})
+		number = k.renewal(t).GetNumber()
+	}
+	// acknowledge returns once the node has handled the acknowledgement of its last
+	// renewal.
+	acknowledge := func(next, revision, confirmedMsAgo uint64) {
+		t.Helper()
+		k.acknowledge(t, &wasabistandv1.RenewalAck{Number: number, Revision: revision, ConfirmedMsAgo: confirmedMsAgo})
+		push(next)
+	}
+	push(1)
+	assert.Assert(t, s.Unconfirmed() >= wait, "an answer confirms the time of its request, not %v ago", s.Unconfirmed())
+	push(2)
+	assert.Assert(t, s.Unconfirmed() >= wait, "a push confirms nothing")
+	sent := time.Now()
+	acknowledge(3, 5, 0)
+	assert.Assert(t, s.Unconfirmed() >= wait, "the node does not hold revision 5")
+	acknowledge(4, 3, 0)
+	assert.Assert(t, s.Unconfirmed() <= time.Since(sent), "the renewal was sent later")
+	before := s.Unconfirmed()
+	acknowledge(5, 4, 10_000)
+	assert.Assert(t, s.Unconfirmed() >= before, "a state that was confirmed 10 s ago is older")
+	time.Sleep(wait)
+	acknowledge(6, 5, 0)
+	assert.Assert(t, s.Unconfirmed() >= wait, "the renewal was sent %v before", wait)
+}
+
+// Guards against nodes that count as unconfirmed at control instances of earlier versions.
+func TestAcknowledgementOfEarlierVersionConfirms(t *testing.T) {
+	c := newControl(t)
+	s, _ := newSession(t, wasabisession.NewOptions(c.address).WithRenewal(50*time.Millisecond, time.Hour))
+	k, _ := c.nextSession()
+	defer close(k.release)
+	k.sendConfiguration(t, &wasabistandv1.ConfigurationUpdate{Revision: 1})
+	k.renewal(t)
+	time.Sleep(300 * time.Millisecond)
+	k.acknowledge(t, &wasabistandv1.RenewalAck{Sequence: 1})
+	for s.Unconfirmed() > 300*time.Millisecond {
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/wasabisession/session.go
+++ b/wasabisession/session.go
@@ -10,6 +10,7 @@
 
 	"github.com/wasabistand/wasabistand"
 	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
+	"github.com/wasabistand/wasabistand/wasabievent"
 	"github.com/wasabistand/wasabistand/wasabilink"
 	"github.com/wasabistand/wasabistand/wasabiwire"
 )
@@ -28,8 +29,10 @@
 	id       string
 	claims   *claims
 
-	published     atomic.Pointer[viewSnapshot]
-	lastConfirmed atomic.Int64 // when control last confirmed, in Unix nanoseconds
+	published atomic.Pointer[viewSnapshot]
+	// lastConfirmed is the time at which the applied configuration was the latest
+	// committed one, as far as control has confirmed that.
+	lastConfirmed atomic.Pointer[time.Time]
 
 	mu                   sync.Mutex
 	self                 wasabistand.Instance
@@ -151,19 +154,29 @@
 	}
 }
 
-// Stale reports whether no control instance has confirmed the session for the
+// Stale reports whether no control instance has confirmed the configuration for the
 // duration of a lease, so that the view may be outdated.
 func (s *Session) Stale() bool {
-	at := s.lastConfirmed.Load()
-	return at == 0 || time.Since(time.Unix(0, at)) > s.options.lease
+	return s.lastConfirmed.Load() == nil || s.Unconfirmed() > s.options.lease
 }
 
-// Unconfirmed returns how long no control instance has confirmed the session.
+// Unconfirmed returns how long ago the applied configuration was certainly the latest
+// committed one: all changes that were committed earlier are applied. Before the first
+// confirmation it returns the time since the start.
 func (s *Session) Unconfirmed() time.Duration {
-	if at := s.lastConfirmed.Load(); at != 0 {
-		return time.Since(time.Unix(0, at))
+	at := s.lastConfirmed.Load()
+	if at == nil {
+		at = &s.started
+	}
+	return wasabievent.Elapsed(time.Now(), *at)
+}
+
+// confirm records that the applied configuration was the latest one at a time. Only run
+// calls it.
+func (s *Session) confirm(at time.Time) {
+	if old := s.lastConfirmed.Load(); old == nil || at.After(*old) {
+		s.lastConfirmed.Store(&at)
 	}
-	return time.Since(s.started)
 }
 
 // Take implements wasabistand.Claims.
--- a/wasabisession/session_stream.go
+++ b/wasabisession/session_stream.go
@@ -24,7 +24,8 @@
 	session     *Session
 	stream      *wasabilink.Stream
 	address     string
-	established bool      // the first configuration has arrived
+	established bool // the first configuration has arrived
+	startedAt   time.Time
 	lastAck     time.Time // when control last acknowledged a renewal
 	// heldRevision is the revision that the node held when the session started.
 	heldRevision uint64
@@ -83,12 +84,13 @@
 func (c *sessionStream) serve(frames <-chan *wasabistandv1.ControlFrame, ended <-chan struct{}) (string, time.Duration) {
 	s := c.session
 	s.state.resetVersions()
+	started := time.Now()
 	c.heldRevision = s.state.revision
 	start := &wasabistandv1.SessionStart{Revision: s.state.revision, DocumentRevision: proto.Uint64(s.state.documentRevision)}
 	if !c.send(&wasabistandv1.NodeFrame{Kind: &wasabistandv1.NodeFrame_Start{Start: start}}) || !c.announce() || !c.sendSubscriptions() {
 		return reasonLinkLost, 0
 	}
-	c.lastAck = time.Now()
+	c.startedAt, c.lastAck = started, time.Now()
 	responseTimer := time.NewTimer(s.options.responseTimeout)
 	defer responseTimer.Stop()
 	renew := time.NewTicker(s.options.renewInterval)
@@ -196,6 +198,11 @@
 		s.candidates.setAddresses(s.state.controls(s.location().Region))
 		if !c.established {
 			c.established = true
+			// Control confirms its state after the session has started. Later updates
+			// may come from an instance that lags behind.
+			if s.state.appliedRevision == s.state.revision {
+				s.confirm(c.startedAt)
+			}
 			s.candidates.recordSuccess(c.address)
 			if s.candidates.isRegional(c.address) {
 				s.returns = 0
@@ -203,7 +210,6 @@
 			s.record(wasabistand.EventSessionUp, "", wasabistand.HeaderField{Name: "Control", Value: c.address},
 				numberField("Held", c.heldRevision), revisionField(u.GetRevision()))
 		}
-		s.lastConfirmed.Store(time.Now().UnixNano())
 		c.update, c.lacksUpdate = max(c.update, u.GetNumber()), s.state.lacksDocument()
 		if changed || s.state.appliedRevision > before {
 			if s.state.appliedRevision > before {
@@ -226,7 +232,7 @@
 		}
 	case *wasabistandv1.ControlFrame_Renewed:
 		c.lastAck = time.Now()
-		s.lastConfirmed.Store(c.lastAck.UnixNano())
+		c.confirm(k.Renewed)
 		c.checkLists(k.Renewed)
 		if c.isFirstWithout(k.Renewed) && !c.renew() {
 			return reasonLinkLost, 0
