wasabidisk: a store repairs itself after an error that passes

Cause: a sync that reported a full disk or an I/O error, a refused truncation, removal or rename, or a failed sync of the folder made the store refuse all writes until it was opened again. File systems with delayed allocation or quotas report a full disk at the sync, so a disk that was full for a second ended the replica.

Change: after a failed operation a segment's file is closed. The next call opens it again, truncates it to the batches that were synced, syncs that, and writes its own batch. Data of the failed sync is dropped and written again, since the kernel may hold it as if it were on the disk, and no later sync would write it. A segment whose creation failed is removed before anything else is written; Compact does not need the active segment, since a removal may be what makes room. Opening a store writes the last segment again as a new file, because an earlier process may have left data of a failed sync; it needs room for one segment. IsTemporary tells errors that may be retried from all others, and OperationError names the operation and the file.

The tests of the store that refused writes after a failed sync are replaced: a retry, another batch, a crash and a killed process after the failure must each keep what was reported. wasabifault.Memory refuses each operation on request, writes half of the data before an error, keeps data of a failed sync as clean for all open files, and ends a process while the machine runs on.

Conclusion: the store keeps what it reported through errors that pass, and accepts writes once they have passed.

--- a/internal/wasabifault/memory.go
+++ b/internal/wasabifault/memory.go
@@ -3,7 +3,6 @@
 package wasabifault
 
 import (
-	"errors"
 	"io"
 	"io/fs"
 	"math/rand/v2"
@@ -20,9 +19,6 @@
 // sectorBytes is the unit in which unsynced writes reach the disk.
 const sectorBytes = 512
 
-// ErrSync is the error that FailSyncs injects.
-var ErrSync = errors.New("injected sync failure")
-
 // Memory is an in-memory file system. Only synced data and names are guaranteed
 // to survive Crash. It is safe for concurrent use.
 type Memory struct {
@@ -38,11 +34,19 @@
 	syncsBeforeFailure int
 	syncsToFail        int
 	successfulSyncs    int
+	fault              Fault
 }
 
 type inode struct {
 	data   []byte
 	synced []byte
+	// failed is the data at the last failed sync, nil after a sync that
+	// succeeded. All of it or none of its unsynced part may be on the disk.
+	failed []byte
+	// Data from cleanFrom to cleanTo belongs to a failed sync: the kernel holds
+	// it as if it were on the disk, so that no later sync writes it. Only what
+	// replaces it does.
+	cleanFrom, cleanTo int
 }
 
 // folderChange is an atomic change of the names in a folder. It maps a name to
@@ -82,7 +86,8 @@
 	for _, name := range list {
 		f := m.durableFiles[name]
 		f.data = contentAfterCrash(f, r)
-		f.synced = slices.Clone(f.data)
+		f.synced, f.failed = slices.Clone(f.data), nil
+		f.cleanFrom, f.cleanTo = 0, 0
 		m.files[name] = f
 	}
 }
@@ -90,6 +95,17 @@
 // contentAfterCrash returns the synced data with a random part of the unsynced
 // writes. Lost sectors among the unsynced writes are zero.
 func contentAfterCrash(f *inode, r *rand.Rand) []byte {
+	if f.failed != nil && r.IntN(3) == 0 {
+		return slices.Clone(f.failed)
+	}
+	b := unsyncedContentAfterCrash(f, r)
+	if from, to := min(f.cleanFrom, len(b)), min(f.cleanTo, len(b)); from < to && r.IntN(2) == 0 {
+		clear(b[from:to])
+	}
+	return b
+}
+
+func unsyncedContentAfterCrash(f *inode, r *rand.Rand) []byte {
 	n := len(f.synced)
 	if len(f.data) < n || string(f.data[:n]) != string(f.synced) {
 		// Truncated without a sync.
@@ -132,15 +148,6 @@
 	m.unsyncedChanges = append(m.unsyncedChanges, c)
 }
 
-// FailSyncs makes n syncs of files fail after the given number of successes.
-// Data that a failed sync should have made durable can be lost at the next
-// crash, even if a later sync of the same open file succeeds.
-func (m *Memory) FailSyncs(successes, n int) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.syncsBeforeFailure, m.syncsToFail = successes, n
-}
-
 // SetCapacity limits the total size of all files in bytes. 0 means no limit.
 func (m *Memory) SetCapacity(n int) {
 	m.mu.Lock()
@@ -206,6 +213,11 @@
 		return nil, syscall.EROFS
 	}
 	f := m.files[name]
+	if f == nil && flag&os.O_CREATE != 0 {
+		if err := m.refusal(Create); err != nil {
+			return nil, err
+		}
+	}
 	switch {
 	case f == nil && flag&os.O_CREATE == 0:
 		return nil, fs.ErrNotExist
@@ -213,7 +225,7 @@
 		f = &inode{}
 		m.applyUnsynced(filepath.Dir(name), map[string]*inode{name: f})
 	case flag&os.O_TRUNC != 0:
-		f.data = nil
+		f.truncate(0)
 	}
 	return &openFile{m: m, inode: f, generation: m.generation}, nil
 }
@@ -268,6 +280,9 @@
 	case f == nil:
 		return fs.ErrNotExist
 	}
+	if err := m.refusal(Rename); err != nil {
+		return err
+	}
 	m.applyUnsynced(filepath.Dir(to), map[string]*inode{from: nil, to: f})
 	return nil
 }
@@ -282,6 +297,9 @@
 	case m.files[name] == nil:
 		return fs.ErrNotExist
 	}
+	if err := m.refusal(Remove); err != nil {
+		return err
+	}
 	m.applyUnsynced(filepath.Dir(name), map[string]*inode{name: nil})
 	return nil
 }
@@ -290,6 +308,9 @@
 func (m *Memory) SyncDir(path string) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if err := m.refusal(SyncDir); err != nil {
+		return err
+	}
 	remaining := m.unsyncedChanges[:0]
 	for _, c := range m.unsyncedChanges {
 		if c.folder == path {
@@ -333,63 +354,3 @@
 	}
 	return nil
 }
-
-type openFile struct {
-	m          *Memory
-	inode      *inode
-	generation int
-	// syncFailed is set by a failed sync: the kernel may have dropped the dirty
-	// pages.
-	syncFailed bool
-}
-
-var errCrashed = errors.New("the process that opened this file has crashed")
-
-func (h *openFile) Write(b []byte) (int, error) {
-	h.m.mu.Lock()
-	defer h.m.mu.Unlock()
-	if h.generation != h.m.generation {
-		return 0, errCrashed
-	}
-	n := len(b)
-	if h.m.capacity > 0 {
-		n = max(0, min(n, h.m.capacity-h.m.used()))
-	}
-	h.inode.data = append(h.inode.data, b[:n]...)
-	if n < len(b) {
-		return n, syscall.ENOSPC
-	}
-	return n, nil
-}
-
-func (h *openFile) Sync() error {
-	h.m.mu.Lock()
-	defer h.m.mu.Unlock()
-	switch {
-	case h.generation != h.m.generation:
-		return errCrashed
-	case h.m.syncsToFail > 0 && h.m.syncsBeforeFailure > 0:
-		h.m.syncsBeforeFailure--
-	case h.m.syncsToFail > 0:
-		h.m.syncsToFail--
-		h.syncFailed = true
-		return ErrSync
-	}
-	if !h.syncFailed {
-		h.inode.synced = slices.Clone(h.inode.data)
-	}
-	h.m.successfulSyncs++
-	return nil
-}
-
-func (h *openFile) Truncate(size int64) error {
-	h.m.mu.Lock()
-	defer h.m.mu.Unlock()
-	if h.generation != h.m.generation {
-		return errCrashed
-	}
-	h.inode.data = slices.Clone(h.inode.data[:size])
-	return nil
-}
-
-func (h *openFile) Close() error { return nil }
--- a/wasabidisk/errors.go
+++ b/wasabidisk/errors.go
@@ -26,11 +26,11 @@
 	// ErrCorrupt means that synced data no longer matches its checksum. The
 	// error contains a *CorruptError.
 	ErrCorrupt = errs.Class("corrupt data")
-	// ErrFull means that nothing was written because the disk is full. The
-	// same write may be retried.
+	// ErrFull means that the disk is full or the quota is exceeded. The call
+	// may be retried.
 	ErrFull = errs.Class("disk full")
-	// ErrFailed means that a write or sync failed. It is unknown which data is
-	// durable, so the store refuses all later writes.
+	// ErrFailed means that the disk refused an operation for another reason,
+	// such as an I/O error. The call may be retried.
 	ErrFailed = errs.Class("disk failed")
 	// ErrClosed means that the store or folder was closed.
 	ErrClosed = errs.Class("store closed")
@@ -52,6 +52,44 @@
 	return ErrCorrupt.Wrap(&CorruptError{File: file, Offset: offset, Detail: fmt.Sprintf(format, a...)})
 }
 
+// OperationError is an error of the file system with the operation and the file.
+type OperationError struct {
+	Operation Operation
+	File      string
+	Err       error
+}
+
+// Error implements error.
+func (e *OperationError) Error() string {
+	return fmt.Sprintf("%s %s: %v", e.Operation, e.File, e.Err)
+}
+
+// Unwrap returns the error of the file system.
+func (e *OperationError) Unwrap() error { return e.Err }
+
+// Operation names an operation of the file system.
+type Operation string
+
+// The operations that an OperationError names.
+const (
+	OperationOpen     Operation = "open"
+	OperationRead     Operation = "read"
+	OperationWrite    Operation = "write"
+	OperationSync     Operation = "sync"
+	OperationClose    Operation = "close"
+	OperationTruncate Operation = "truncate"
+	OperationRename   Operation = "rename"
+	OperationRemove   Operation = "remove"
+	OperationSyncDir  Operation = "syncdir"
+	OperationLock     Operation = "lock"
+	OperationMkdir    Operation = "mkdir"
+)
+
+// IsTemporary reports whether an error may pass without anyone opening the store
+// again: the same call may be retried. Nothing that the failed call was to write
+// counts as durable until a retry has succeeded.
+func IsTemporary(err error) bool { return ErrFull.Has(err) || ErrFailed.Has(err) }
+
 // isFull reports whether the disk is full or the quota is exceeded; freeing
 // space clears both.
 func isFull(err error) bool {
@@ -62,16 +100,22 @@
 	return errors.Is(err, syscall.EROFS) || errors.Is(err, fs.ErrPermission)
 }
 
-// classify wraps an error from the file system by its cause.
-func classify(err error) error {
-	switch {
-	case err == nil:
+// classify wraps an error from the file system by its cause. It returns nil for
+// nil.
+func classify(o Operation, file string, err error) error {
+	if err == nil {
 		return nil
+	}
+	operationErr := &OperationError{o, file, err}
+	switch {
 	case isFull(err):
-		return ErrFull.Wrap(err)
+		return ErrFull.Wrap(operationErr)
 	case isReadOnly(err):
-		return ErrReadOnly.Wrap(err)
+		return ErrReadOnly.Wrap(operationErr)
+	case errors.Is(err, fs.ErrNotExist):
+		// A file that was removed by someone else does not come back.
+		return Error.Wrap(operationErr)
 	default:
-		return Error.Wrap(err)
+		return ErrFailed.Wrap(operationErr)
 	}
 }
--- a/wasabidisk/folder.go
+++ b/wasabidisk/folder.go
@@ -22,7 +22,6 @@
 	"errors"
 	"io"
 	"io/fs"
-	"os"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -62,14 +61,15 @@
 		return nil, Error.New("cluster name is empty")
 	}
 	if err := f.MkdirAll(filepath.Join(path, "groups")); err != nil {
-		return nil, classify(err)
+		return nil, classify(OperationMkdir, path, err)
 	}
-	lock, err := f.Lock(filepath.Join(path, "lock"))
+	lockName := filepath.Join(path, "lock")
+	lock, err := f.Lock(lockName)
 	if err != nil {
 		if ErrLocked.Has(err) {
 			return nil, err
 		}
-		return nil, classify(err)
+		return nil, classify(OperationLock, lockName, err)
 	}
 	d := &Folder{fs: f, path: path, lock: lock, stores: map[string]*Store{}}
 	if err := d.load(cluster); err != nil {
@@ -86,7 +86,7 @@
 	if errors.Is(err, fs.ErrNotExist) {
 		groups, err := d.fs.ReadDir(filepath.Join(d.path, "groups"))
 		if err != nil {
-			return classify(err)
+			return classify(OperationRead, d.path, err)
 		}
 		if len(groups) > 0 {
 			return ErrIncomplete.New("%s is missing but groups exist: %s", name, strings.Join(groups, ", "))
@@ -98,7 +98,7 @@
 		return d.writeIdentity(Identity{Cluster: cluster, Format: Version, Storage: hex.EncodeToString(random[:])})
 	}
 	if err != nil {
-		return classify(err)
+		return classify(OperationRead, name, err)
 	}
 	if len(b) == 0 {
 		return ErrIncomplete.New("%s is empty", name)
@@ -125,6 +125,11 @@
 	if id.Storage == "" {
 		return newCorruptError(name, 0, "no storage identity")
 	}
+	// An earlier process may have failed between the rename of the file and the
+	// sync of the folder.
+	if err := syncDir(d.fs, d.path); err != nil {
+		return err
+	}
 	d.identity = id
 	return nil
 }
@@ -145,38 +150,6 @@
 	return nil
 }
 
-// writeFile replaces a file atomically: after a crash it holds either the old
-// or the new contents.
-func writeFile(f FS, path, name string, parts ...[]byte) error {
-	temporary := filepath.Join(path, name+".tmp")
-	w, err := f.OpenFile(temporary, os.O_WRONLY|os.O_CREATE|os.O_TRUNC|os.O_APPEND)
-	if err != nil {
-		return classify(err)
-	}
-	for _, b := range parts {
-		if _, err := w.Write(b); err != nil {
-			_ = w.Close()
-			_ = f.Remove(temporary)
-			return classify(err)
-		}
-	}
-	if err := w.Sync(); err != nil {
-		_ = w.Close()
-		_ = f.Remove(temporary)
-		return ErrFailed.Wrap(err)
-	}
-	if err := w.Close(); err != nil {
-		return ErrFailed.Wrap(err)
-	}
-	if err := f.Rename(temporary, filepath.Join(path, name)); err != nil {
-		return classify(err)
-	}
-	if err := f.SyncDir(path); err != nil {
-		return ErrFailed.Wrap(err)
-	}
-	return nil
-}
-
 // Identity returns the identity of the folder.
 func (d *Folder) Identity() Identity {
 	d.mu.Lock()
--- a/wasabidisk/replay.go
+++ b/wasabidisk/replay.go
@@ -29,10 +29,14 @@
 // segment describes one file of the log.
 type segment struct {
 	sequence uint64
+	// file is open for appending, nil when the segment is sealed or must be
+	// repaired before the next write.
+	file File
 	// maxIndex is the highest entry index in the file.
 	maxIndex uint64
-	size     int64
-	sealed   bool
+	// size is the length of the batches that are known to be synced.
+	size   int64
+	sealed bool
 	// hasData is set when records follow the header batch.
 	hasData bool
 	// torn is set when the file ends in an incomplete batch.
--- a/wasabidisk/snapshot.go
+++ b/wasabidisk/snapshot.go
@@ -18,7 +18,8 @@
 const snapshotPartBytes = 16 << 20
 
 // SaveSnapshot writes and syncs a snapshot and removes older ones. It may run
-// concurrently with Save. The log keeps its entries until Compact or Reset.
+// concurrently with Save. The log keeps its entries until Compact or Reset. After
+// an error for which IsTemporary is true the same call may be retried.
 func (s *Store) SaveSnapshot(n *wasabistandv1.LogSnapshot) error {
 	if err := s.checkUsable(); err != nil {
 		return err
@@ -42,20 +43,17 @@
 		parts, state = append(parts, p), state[k:]
 	}
 	if err := writeFile(s.fs, s.path, snapshotName(n.GetIndex()), parts...); err != nil {
-		// When the disk is full, the older snapshot and the log are unchanged.
-		if ErrFull.Has(err) {
-			return err
-		}
-		return s.fail(err)
+		// The older snapshot and the log are unchanged.
+		return err
 	}
 	names, err := s.fs.ReadDir(s.path)
 	if err != nil {
-		return classify(err)
+		return classify(OperationRead, s.path, err)
 	}
 	for _, name := range names {
 		if i, ok := snapshotIndex(name); ok && i < n.GetIndex() {
-			if err := s.fs.Remove(filepath.Join(s.path, name)); err != nil {
-				return classify(err)
+			if err := remove(s.fs, filepath.Join(s.path, name)); err != nil {
+				return err
 			}
 		}
 	}
@@ -87,7 +85,7 @@
 	name := filepath.Join(path, latest)
 	b, err := f.ReadFile(name)
 	if err != nil {
-		return nil, classify(err)
+		return nil, classify(OperationRead, name, err)
 	}
 	n := new(wasabistandv1.LogSnapshot)
 	for offset := 0; offset < len(b); {
