wasabiraft: a member outlasts every error of its disk that passes

Cause: the runner waited only for room after a write. Any other error of the disk, such as an I/O error of a sync, ended the replica, and the process went on without it. Members hit one after another lost the majority for good.

Change: the runner repeats what it has to write for all errors that pass. Until then it behaves as on a full disk: pending proposals end with an unknown outcome at once, new ones are refused, and nothing is sent.

The events disk.refused and disk.accepted say when it began, with class and operation, and when it ended; a counter has all errors of the disk by class and operation, a gauge the time since the refusal began.

TestFailedSync required that the member ends after a failed sync, which is the fault. It now requires that the member neither leads nor acknowledges until the disk accepts writes, comes back by itself, and holds everything after a crash of all members.

Conclusion: a disk that refuses for a while costs the member that while and no more.

--- a/event.go
+++ b/event.go
@@ -49,6 +49,8 @@
 	EventSessionDown     EventKind = "session.down"
 	EventGroupLeader     EventKind = "group.leader"
 	EventGroupMembers    EventKind = "group.members"
+	EventDiskRefused     EventKind = "disk.refused"
+	EventDiskAccepted    EventKind = "disk.accepted"
 	EventLeaseExpired    EventKind = "lease.expired"
 	EventShutdown        EventKind = "shutdown"
 )
--- a/wasabicontrol/metrics.go
+++ b/wasabicontrol/metrics.go
@@ -2,9 +2,12 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/wasabistand/wasabistand/wasabidisk"
 )
 
 // metrics holds the metrics of a control instance, in base units.
@@ -38,6 +41,8 @@
 	descTerm      = prometheus.NewDesc("wasabi_control_group_term", "Current term of the group.", []string{"group"}, nil)
 	descCommit    = prometheus.NewDesc("wasabi_control_group_commit_index", "Commit index known to this replica.", []string{"group"}, nil)
 	descFull      = prometheus.NewDesc("wasabi_control_group_disk_full", "1 while the replica waits for free disk space.", []string{"group"}, nil)
+	descRefusing  = prometheus.NewDesc("wasabi_control_group_disk_refusing_seconds", "Time since the disk began to refuse writes that the replica needs, 0 while it accepts them.", []string{"group"}, nil)
+	descErrors    = prometheus.NewDesc("wasabi_control_disk_errors_total", "Errors of the disk, by class and operation.", []string{"group", "class", "operation"}, nil)
 	descClaims    = prometheus.NewDesc("wasabi_control_claims", "Claims in the table.", []string{"group"}, nil)
 	descRequests  = prometheus.NewDesc("wasabi_control_claim_requests_total", "Claim requests proposed by this control instance.", []string{"group"}, nil)
 	descBatches   = prometheus.NewDesc("wasabi_control_claim_batches_total", "Commands proposed for claim requests.", []string{"group"}, nil)
@@ -48,7 +53,7 @@
 
 // Describe implements prometheus.Collector.
 func (c *collector) Describe(d chan<- *prometheus.Desc) {
-	for _, k := range []*prometheus.Desc{descSessions, descInstances, descSuspect, descRevision, descLeader, descTerm, descCommit, descFull, descClaims, descRequests, descBatches, descSentBytes, descSentMessages} {
+	for _, k := range []*prometheus.Desc{descSessions, descInstances, descSuspect, descRevision, descLeader, descTerm, descCommit, descFull, descRefusing, descErrors, descClaims, descRequests, descBatches, descSentBytes, descSentMessages} {
 		d <- k
 	}
 }
@@ -75,7 +80,15 @@
 		gauge(descLeader, boolToFloat(g.isLeader(i.settings.id)), name)
 		gauge(descTerm, float64(s.Term), name)
 		gauge(descCommit, float64(s.Commit), name)
-		gauge(descFull, boolToFloat(s.DiskFull), name)
+		gauge(descFull, boolToFloat(wasabidisk.ErrFull.Has(s.Disk.Err)), name)
+		refusing := 0.0
+		if s.Disk.Err != nil {
+			refusing = time.Since(s.Disk.Since).Seconds()
+		}
+		gauge(descRefusing, refusing, name)
+		for e, n := range s.Disk.Errors {
+			out <- prometheus.MustNewConstMetric(descErrors, prometheus.CounterValue, float64(n), name, e.Class, string(e.Operation))
+		}
 		gauge(descClaims, float64(g.machine.claims().Total()), name)
 		out <- prometheus.MustNewConstMetric(descRequests, prometheus.CounterValue, float64(g.claims.requests.Load()), name)
 		out <- prometheus.MustNewConstMetric(descBatches, prometheus.CounterValue, float64(g.claims.batches.Load()), name)
--- a/wasabiraft/admin.go
+++ b/wasabiraft/admin.go
@@ -19,8 +19,10 @@
 	Applied uint64
 	// SnapshotIndex is the index of the latest snapshot.
 	SnapshotIndex uint64
-	// DiskFull is set while the disk is full and the member waits for space.
-	DiskFull bool
+	// Disk describes whether the member's disk accepts writes. While it does
+	// not, the member leads no more, and Leader is the member whose messages it
+	// receives.
+	Disk DiskStatus
 	// DroppedMessages is the number of messages dropped because the queue was
 	// full.
 	DroppedMessages uint64
@@ -71,8 +73,12 @@
 	s := Status{ID: r.config.Self.ID, Storage: r.config.Self.Storage}
 	_ = r.runInLoop(context.Background(), func() {
 		s = r.replica.Status()
-		s.Applied, s.DiskFull, s.DroppedMessages = r.applied, r.diskFull, r.dropped.Load()
+		s.Applied, s.DroppedMessages = r.applied, r.dropped.Load()
+		if r.disk.refuses() {
+			s.Role, s.Leader = Follower, r.leader.Load().id
+		}
 	})
+	s.Disk = r.disk.status()
 	return s
 }
 
@@ -86,6 +92,10 @@
 	for {
 		busy := false
 		err := r.runInLoop(ctx, func() {
+			if r.disk.refuses() {
+				result <- wasabistand.ErrNotLeader.New("the disk refuses writes")
+				return
+			}
 			if r.replica.Role() == Leader && !r.replica.canChangeMembers() {
 				busy = true
 				return
@@ -127,7 +137,7 @@
 	for {
 		leads := false
 		err := r.runInLoop(ctx, func() {
-			leads = r.replica.Role() == Leader
+			leads = r.replica.Role() == Leader && !r.disk.refuses()
 			if leads && time.Since(requestedAt) > r.config.Settings.ElectionTimeout {
 				requestedAt = now()
 				// Without another voter that responds there is no transfer to wait for.
@@ -172,17 +182,17 @@
 	})
 }
 
-// handleSnapshotResult compacts the log up to a snapshot that was saved. After a
-// failed sync the store rejects the next write, which ends the runner.
+// handleSnapshotResult compacts the log up to a snapshot that was saved. What
+// failed is done with the next snapshot.
 func (r *Runner) handleSnapshotResult(s snapshotResult) {
 	r.savingSnapshot = false
 	if s.err != nil {
-		r.record(wasabistand.EventGroupMembers, "snapshot", s.err.Error())
+		r.recordDiskError("snapshot", s.err)
 		return
 	}
 	r.replica.Compact(s.snapshot)
 	if err := r.config.Store.Compact(s.snapshot.GetIndex()); err != nil {
-		r.record(wasabistand.EventGroupMembers, "compact", err.Error())
+		r.recordDiskError("compact", err)
 	}
 }
 
--- a/wasabiraft/runner.go
+++ b/wasabiraft/runner.go
@@ -43,8 +43,8 @@
 	// replaced disk that is started with Members instead is ignored by the
 	// group. To recover, remove its data folder and restart it with Join.
 	Join bool
-	// Recorder records changes of the leader and the members, a full disk, and
-	// failed snapshots and compactions. It may be nil.
+	// Recorder records changes of the leader and the members, and a disk that
+	// refuses writes. It may be nil.
 	Recorder wasabistand.Recorder
 }
 
@@ -55,9 +55,6 @@
 	maxQueuedRequests = 4096
 )
 
-// diskFullRetryInterval is the time between write attempts on a full disk.
-const diskFullRetryInterval = 250 * time.Millisecond
-
 var errStopped = errors.New("closed")
 
 // Runner runs one Replica with its disk, transport and state machine. It
@@ -78,12 +75,13 @@
 	leader          atomic.Pointer[leaderInfo]
 	err             error // set before done is closed
 	dropped         atomic.Uint64
+	disk            diskMonitor
 
 	// Owned by the loop.
 	applied          uint64
 	snapshotIndex    uint64 // index of the latest snapshot taken
 	savingSnapshot   bool
-	diskFull         bool
+	observedLeaderAt time.Time // of the latest message of a leader while the disk refuses writes
 	pendingProposals map[uint64]*proposal
 	readBatches      []*readBatch
 	pendingChanges   map[uint64]chan error
@@ -283,54 +281,6 @@
 	}
 }
 
-// save writes the work that Ready returned to disk. On a full disk it retries
-// until there is space. The replica sends nothing until then, so the group
-// continues without it.
-func (r *Runner) save(d Ready) error {
-	store := r.config.Store
-	if n := d.Snapshot; n != nil {
-		r.waitForSnapshot()
-		if err := r.retryWhileFull(func() error { return store.SaveSnapshot(n) }); err != nil {
-			return err
-		}
-		if err := r.retryWhileFull(func() error { return store.Reset(n.GetIndex(), n.GetTerm()) }); err != nil {
-			return err
-		}
-	}
-	return r.retryWhileFull(func() error { return store.Save(d.HardState, d.Entries) })
-}
-
-func (r *Runner) retryWhileFull(write func() error) error {
-	for {
-		err := write()
-		if !wasabidisk.ErrFull.Has(err) {
-			r.diskFull = false
-			return err
-		}
-		if !r.diskFull {
-			r.diskFull = true
-			r.leader.Store(&leaderInfo{})
-			r.failPending(wasabistand.ErrUnknownOutcome.New("disk full"))
-			r.record(wasabistand.EventGroupLeader, "disk", err.Error())
-		}
-		retry := time.NewTimer(diskFullRetryInterval)
-		for waiting := true; waiting; {
-			select {
-			case <-r.stop:
-				retry.Stop()
-				return errStopped
-			case <-r.incoming:
-			case p := <-r.proposals:
-				p.complete(nil, wasabistand.ErrNotLeader.New("disk full"))
-			case f := <-r.calls:
-				f()
-			case <-retry.C:
-				waiting = false
-			}
-		}
-	}
-}
-
 func (r *Runner) send(list []*message) {
 	for len(list) > 0 {
 		to := list[0].GetTo()
@@ -362,12 +312,15 @@
 }
 
 func (r *Runner) record(kind wasabistand.EventKind, name, value string) {
+	r.recordFields(kind, wasabistand.HeaderField{Name: name, Value: value})
+}
+
+func (r *Runner) recordFields(kind wasabistand.EventKind, fields ...wasabistand.HeaderField) {
 	if r.config.Recorder == nil {
 		return
 	}
-	r.config.Recorder.Record(wasabistand.Event{Kind: kind, Fields: []wasabistand.HeaderField{
-		{Name: name, Value: value}, {Name: "Term", Value: fmt.Sprint(r.replica.Term())},
-	}})
+	fields = append(fields, wasabistand.HeaderField{Name: "Term", Value: fmt.Sprint(r.replica.Term())})
+	r.config.Recorder.Record(wasabistand.Event{Kind: kind, Fields: fields})
 }
 
 // finish completes all pending and queued proposals when the loop ends.
