--- a/internal/wasabifault/faults.go
+++ b/internal/wasabifault/faults.go
@@ -48,6 +48,13 @@
 	m.fault = f
 }
 
+// Refusals returns the number of operations that faults have made fail.
+func (m *Memory) Refusals() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.refusals
+}
+
 // refusal returns the error of an operation, or nil if it may proceed.
 func (m *Memory) refusal(o Operation) error {
 	f := &m.fault
@@ -58,6 +65,7 @@
 		f.After--
 		return nil
 	}
+	m.refusals++
 	err := f.Err
 	if f.Count > 0 {
 		f.Count--
--- a/internal/wasabifault/memory.go
+++ b/internal/wasabifault/memory.go
@@ -35,6 +35,7 @@
 	syncsToFail        int
 	successfulSyncs    int
 	fault              Fault
+	refusals           int
 }
 
 type inode struct {
--- a/wasabicontrol/cluster_test.go
+++ b/wasabicontrol/cluster_test.go
@@ -21,6 +21,7 @@
 	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
 	"github.com/wasabistand/wasabistand/gen/wasabistand/v1/wasabistandv1connect"
 	"github.com/wasabistand/wasabistand/wasabicontrol"
+	"github.com/wasabistand/wasabistand/wasabidisk"
 	"github.com/wasabistand/wasabistand/wasabilink"
 	"github.com/wasabistand/wasabistand/wasabisession"
 )
@@ -46,14 +47,23 @@
 	// instances are added.
 	mu     sync.Mutex
 	modify func(wasabicontrol.Settings) wasabicontrol.Settings
+	disk   func(id string) wasabidisk.FS
 }
 
 // newCluster starts a cluster whose first home members also form the home group
 // of the region "here". There is no home group if home is 0.
 func newCluster(t testing.TB, size, home int, modify func(wasabicontrol.Settings) wasabicontrol.Settings) *cluster {
+	t.Helper()
+	return newClusterOnDisks(t, size, home, modify, func(string) wasabidisk.FS { return nil })
+}
+
+// newClusterOnDisks is like newCluster with a file system for each instance, nil for
+// that of the operating system.
+func newClusterOnDisks(t testing.TB, size, home int, modify func(wasabicontrol.Settings) wasabicontrol.Settings, disk func(id string) wasabidisk.FS) *cluster {
 	t.Helper()
 	c := &cluster{
-		t: t, dir: t.TempDir(), joins: map[string]bool{}, links: map[string]string{}, apis: map[string]string{},
+		disk: disk,
+		t:    t, dir: t.TempDir(), joins: map[string]bool{}, links: map[string]string{}, apis: map[string]string{},
 		instances: map[string]*wasabicontrol.Instance{}, sides: map[string]*atomic.Int32{}, modify: modify,
 	}
 	root := wasabicontrol.Group{Name: wasabicontrol.RootGroup}
@@ -117,7 +127,7 @@
 		s = c.modify(s)
 	}
 	i, err := wasabicontrol.New(s, wasabicontrol.Parts{
-		Log: &log, LinkListener: listeners[0], APIListener: listeners[1],
+		Log: &log, LinkListener: listeners[0], APIListener: listeners[1], Disk: c.disk(id),
 		Links: func(o wasabilink.Options) wasabilink.Options { return o.WithDial(c.dial(id)) },
 	})
 	assert.NilError(c.t, err)
