--- a/event.go
+++ b/event.go
@@ -50,6 +50,8 @@
 	EventListsResent     EventKind = "lists.requested"
 	EventGroupLeader     EventKind = "group.leader"
 	EventGroupMembers    EventKind = "group.members"
+	EventDiskRefused     EventKind = "disk.refused"
+	EventDiskAccepted    EventKind = "disk.accepted"
 	EventLeaseExpired    EventKind = "lease.expired"
 	EventShutdown        EventKind = "shutdown"
 )
