--- a/internal/process/wasabimesh/control.go
+++ b/internal/process/wasabimesh/control.go
@@ -58,6 +58,8 @@
 	Join bool
 	// ToleratedDiskLosses is the number of disks that may be lost at the same time.
 	ToleratedDiskLosses int
+	// Links modifies the options of links, nil for no change.
+	Links func(wasabilink.Options) wasabilink.Options
 }
 
 // ControlDaemon runs a control instance as a daemon.
@@ -113,7 +115,11 @@
 		wasabicontrol.Parts{
 			Log: &c.log,
 			Links: func(o wasabilink.Options) wasabilink.Options {
-				return o.WithHeartbeat(linkPingInterval, linkSuspectAfter, linkSilentAfter)
+				o = o.WithHeartbeat(linkPingInterval, linkSuspectAfter, linkSilentAfter)
+				if s.Links != nil {
+					o = s.Links(o)
+				}
+				return o
 			},
 			Raft: wasabiraft.NewSettings().WithElection(electionTimeout, electionHeartbeat).
 				WithSnapshots(snapshotEntries, trailingEntries),
