wasabiraft: responses to heartbeats don't wait for entries

Callers saw: on an overloaded machine, nodes that kept an older configuration for seconds while changes were confirmed.

Cause: control instances end all sessions when the quorum has confirmed nothing for 1.2 s, and changes have more time than that. A round of confirmation waits for the heartbeat responses of a majority, and a follower sent them only after the sync of entries that had arrived with the heartbeat. Each change so added a sync of a majority of disks to the reads beside it.

Change: a follower responds to a heartbeat before the sync unless its term or vote is not on disk yet.

Evidence: TestReadDoesNotWaitForEntries fails before the change.

Why it works: the response says that this replica was in the leader's term when the read was requested. The term is on disk, so that a restart doesn't go back before it, and a vote that comes later comes after the read. It says nothing of entries; responses to appends still follow the sync.

--- a/wasabiraft/election_test.go
+++ b/wasabiraft/election_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -45,6 +46,34 @@
 	assert.Equal(t, leader, "")
 }
 
+// TestReadDoesNotWaitForEntries guards against reads that wait for the disks of followers.
+func TestReadDoesNotWaitForEntries(t *testing.T) {
+	now := time.Unix(1000, 0)
+	state, err := wasabiraft.Bootstrap([]*wasabistandv1.Member{{Id: "a", Address: "127.0.0.1:1"}, {Id: "b", Address: "127.0.0.1:2"}})
+	assert.NilError(t, err)
+	r, err := wasabiraft.New(wasabiraft.Self{ID: "b", Address: "127.0.0.1:2", Storage: "y"}, wasabiraft.NewSettings(), state, rand.New(rand.NewPCG(1, 1)), now)
+	assert.NilError(t, err)
+	index, term := state.Entries[len(state.Entries)-1].GetIndex(), state.Entries[len(state.Entries)-1].GetTerm()
+	for k := range uint64(2) {
+		index++
+		r.Step(now, &wasabistandv1.GroupMessage{
+			Kind: wasabistandv1.GroupMessage_KIND_APPEND, From: "a", FromStorage: "x", To: "b", Term: 2, PreviousIndex: index - 1, PreviousTerm: term,
+			Entries: []*wasabistandv1.LogEntry{{Index: index, Term: 2, Kind: wasabistandv1.LogEntry_KIND_COMMAND}},
+		})
+		term = 2
+		r.Step(now, &wasabistandv1.GroupMessage{
+			Kind: wasabistandv1.GroupMessage_KIND_HEARTBEAT, From: "a", FromStorage: "x", To: "b", Term: 2, ReadSequence: k + 1,
+		})
+		d := r.Ready()
+		early := slices.ContainsFunc(d.BeforeSync, func(m *wasabistandv1.GroupMessage) bool { return m.GetReadSequence() == k+1 })
+		// The first response says that this replica is in a term that is not on disk yet.
+		assert.Equal(t, early, k > 0)
+		assert.Equal(t, slices.ContainsFunc(d.AfterSync, func(m *wasabistandv1.GroupMessage) bool { return m.GetReadSequence() == k+1 }), k == 0)
+		assert.Equal(t, len(d.Entries), 1)
+		r.Synced(now)
+	}
+}
+
 // electionDelay starts the first replicas of five within startSpread after a loss of
 // power, on links
 // of 20 ms one way that the first message of each direction opens, and returns the time
--- a/wasabiraft/step.go
+++ b/wasabiraft/step.go
@@ -123,7 +123,13 @@
 		r.log.commit = max(r.log.commit, min(m.GetCommitIndex(), r.matchedIndex))
 		a := r.make(wasabistandv1.GroupMessage_KIND_HEARTBEAT_RESPONSE, m.GetFrom())
 		a.ReadSequence = m.GetReadSequence()
-		r.sendAfterSync(a)
+		if r.hardStateChanged {
+			r.sendAfterSync(a)
+		} else {
+			// The response says that this replica was in the leader's term, which is
+			// on disk, and nothing of the log. Reads would wait for the sync of entries.
+			r.sendBeforeSync(a)
+		}
 	}
 }
 
