wasabicontrol: open a control instance again after its replica has ended

Cause: when a replica ended, the control instance logged "replica stopped" and went on without it until the process was started again. A disk that was full at the start ended the process. After a removal, one failure to open the new instance, or to empty the folder, left the process without one for good.

Change: a supervisor keeps the control instance of both daemons running. An instance that ran before is opened to join, so that a folder that was emptied by someone else forms no group of its own.

--- a/internal/process/wasabimesh/control.go
+++ b/internal/process/wasabimesh/control.go
@@ -6,13 +6,13 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/wasabistand/wasabistand"
 	"github.com/wasabistand/wasabistand/wasabicontrol"
+	"github.com/wasabistand/wasabistand/wasabidisk"
 	"github.com/wasabistand/wasabistand/wasabilink"
 	"github.com/wasabistand/wasabistand/wasabiprocess"
 	"github.com/wasabistand/wasabistand/wasabiraft"
@@ -58,6 +58,8 @@
 	Join bool
 	// ToleratedDiskLosses is the number of disks that may be lost at the same time.
 	ToleratedDiskLosses int
+	// Disk replaces the operating system's file system, nil for no replacement.
+	Disk wasabidisk.FS
 }
 
 // ControlDaemon runs a control instance as a daemon.
@@ -66,12 +68,8 @@
 	log      zerolog.Logger
 	handler  func(*ControlDaemon) http.Handler
 
-	mu       sync.Mutex
-	instance *wasabicontrol.Instance
-	server   *http.Server
-	stop     chan struct{}
-	stopOnce sync.Once
-	wait     sync.WaitGroup
+	supervisor *wasabicontrol.Supervisor
+	server     *http.Server
 }
 
 var _ wasabiprocess.Daemon = (*ControlDaemon)(nil)
@@ -79,30 +77,27 @@
 // NewControl returns a control instance that has not started. handler returns
 // the HTTP handler for operators.
 func NewControl(s ControlSettings, log zerolog.Logger, handler func(*ControlDaemon) http.Handler) *ControlDaemon {
-	return &ControlDaemon{settings: s, log: log, handler: handler, stop: make(chan struct{})}
+	c := &ControlDaemon{settings: s, log: log, handler: handler}
+	c.supervisor = wasabicontrol.NewSupervisor(wasabicontrol.SupervisorConfig{
+		Open: c.open, Empty: func() error { return removeContents(s.Folder) }, Log: log,
+	})
+	return c
 }
 
 // Instance returns the running control instance, or nil if there is none.
-func (c *ControlDaemon) Instance() *wasabicontrol.Instance {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.instance
-}
+func (c *ControlDaemon) Instance() *wasabicontrol.Instance { return c.supervisor.Instance() }
 
 // Start implements wasabiprocess.Daemon.
 func (c *ControlDaemon) Start(context.Context) error {
-	i, err := c.open(c.settings.Join)
-	if err != nil {
-		return err
-	}
-	if c.server, err = serve(c.settings.Operators, c.handler(c), c.log); err != nil {
+	if err := c.supervisor.Start(c.settings.Join); err != nil {
 		return err
 	}
-	c.wait.Go(func() { c.restartAfterRemoval(i) })
-	return nil
+	var err error
+	c.server, err = serve(c.settings.Operators, c.handler(c), c.log)
+	return err
 }
 
-func (c *ControlDaemon) open(join bool) (*wasabicontrol.Instance, error) {
+func (c *ControlDaemon) open(join bool, reopened uint64) (*wasabicontrol.Instance, error) {
 	s := c.settings
 	i, err := wasabicontrol.New(wasabicontrol.NewSettings(s.Cluster, s.Instance, s.Folder).
 		WithLocation(s.Location).WithAddresses(s.Link, s.API).
@@ -111,7 +106,7 @@
 		WithConfirm(confirmTimeout, confirmInterval, quorumLossTimeout).
 		WithAutoMembership(s.ToleratedDiskLosses).WithRevisions(maxRevisions, maxRevisionBytes),
 		wasabicontrol.Parts{
-			Log: &c.log,
+			Log: &c.log, Disk: c.settings.Disk, Reopened: reopened,
 			Links: func(o wasabilink.Options) wasabilink.Options {
 				return o.WithHeartbeat(linkPingInterval, linkSuspectAfter, linkSilentAfter)
 			},
@@ -124,39 +119,9 @@
 	if err := i.Start(); err != nil {
 		return nil, err
 	}
-	c.mu.Lock()
-	c.instance = i
-	c.mu.Unlock()
 	return i, nil
 }
 
-// restartAfterRemoval restarts the instance on an empty data folder each time
-// the group has removed its disk.
-func (c *ControlDaemon) restartAfterRemoval(i *wasabicontrol.Instance) {
-	for {
-		select {
-		case <-c.stop:
-			return
-		case <-i.Removed():
-		}
-		c.mu.Lock()
-		c.instance = nil
-		c.mu.Unlock()
-		if err := i.Close(); err != nil {
-			c.log.Warn().Err(err).Msg("closing the removed instance failed")
-		}
-		if err := removeContents(c.settings.Folder); err != nil {
-			c.log.Error().Err(err).Msg("emptying the data folder failed")
-			return
-		}
-		var err error
-		if i, err = c.open(true); err != nil {
-			c.log.Error().Err(err).Msg("restart on an empty data folder failed")
-			return
-		}
-	}
-}
-
 // removeContents removes everything in a folder.
 func removeContents(folder string) error {
 	list, err := os.ReadDir(folder)
@@ -172,29 +137,21 @@
 
 // Shutdown implements wasabiprocess.Daemon.
 func (c *ControlDaemon) Shutdown(ctx context.Context) error {
-	c.stopOnce.Do(func() { close(c.stop) })
-	c.wait.Wait()
+	// The supervision ends first, so that no instance is opened meanwhile.
+	c.supervisor.Stop()
 	ctx, cancel := context.WithTimeout(ctx, shutdownTimeout)
 	defer cancel()
-	err := c.server.Shutdown(ctx)
-	if i := c.Instance(); i != nil {
-		err = errors.Join(err, i.Shutdown(ctx))
-	}
-	return err
+	return errors.Join(c.server.Shutdown(ctx), c.supervisor.Shutdown(ctx))
 }
 
 // Close implements wasabiprocess.Daemon.
 func (c *ControlDaemon) Close() error {
-	c.stopOnce.Do(func() { close(c.stop) })
-	c.wait.Wait()
+	c.supervisor.Stop()
 	var list []error
 	if c.server != nil {
 		list = append(list, c.server.Close())
 	}
-	if i := c.Instance(); i != nil {
-		list = append(list, i.Close())
-	}
-	return errors.Join(list...)
+	return errors.Join(append(list, c.supervisor.Close())...)
 }
 
 // String returns the role and the instance.
--- a/wasabicontrol/instance.go
+++ b/wasabicontrol/instance.go
@@ -36,6 +36,8 @@
 	Raft wasabiraft.Settings
 	// Disk replaces the operating system's file system.
 	Disk wasabidisk.FS
+	// Reopened is the number of instances that ran before in this process.
+	Reopened uint64
 }
 
 // Instance is one control instance. It is safe for concurrent use.
@@ -58,6 +60,8 @@
 	ready         chan struct{}
 	removedSignal chan struct{}
 	removedOnce   sync.Once
+	failedSignal  chan struct{}
+	failedOnce    sync.Once
 	ctx           context.Context
 	cancel        context.CancelFunc
 	wait          sync.WaitGroup
@@ -85,7 +89,7 @@
 	if p.Raft == (wasabiraft.Settings{}) {
 		p.Raft = wasabiraft.NewSettings()
 	}
-	i := &Instance{settings: s, parts: p, groups: map[string]*group{}, ready: make(chan struct{}), removedSignal: make(chan struct{})}
+	i := &Instance{settings: s, parts: p, groups: map[string]*group{}, ready: make(chan struct{}), removedSignal: make(chan struct{}), failedSignal: make(chan struct{})}
 	if p.Log != nil {
 		i.log = *p.Log
 	} else {
@@ -247,6 +251,7 @@
 		case <-g.runner.Done():
 			if err := g.runner.Err(); err != nil {
 				i.log.Error().Str("Group", g.settings.Name).Err(err).Msg("replica stopped")
+				i.failedOnce.Do(func() { close(i.failedSignal) })
 			}
 			return
 		case <-t.C:
@@ -254,6 +259,10 @@
 	}
 }
 
+// Failed returns a channel that is closed when a replica has ended by an error. The
+// instance must then be closed and started again.
+func (i *Instance) Failed() <-chan struct{} { return i.failedSignal }
+
 // hasRecentQuorum reports whether the quorums of all groups confirmed the state
 // recently.
 func (i *Instance) hasRecentQuorum() bool {
--- a/wasabidaemon/control.go
+++ b/wasabidaemon/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -24,32 +25,45 @@
 
 // Control runs a control instance as a daemon.
 type Control struct {
-	settings wasabisettings.ControlInstance
-	log      zerolog.Logger
-	instance *wasabicontrol.Instance
+	settings   wasabisettings.ControlInstance
+	log        zerolog.Logger
+	supervisor *wasabicontrol.Supervisor
 }
 
 var _ wasabiprocess.Daemon = (*Control)(nil)
 
 // NewControl returns a control instance that has not started.
 func NewControl(s wasabisettings.ControlInstance, log zerolog.Logger) *Control {
-	return &Control{settings: s, log: log}
+	c := &Control{settings: s, log: log}
+	c.supervisor = wasabicontrol.NewSupervisor(wasabicontrol.SupervisorConfig{Open: c.open, Log: log})
+	return c
 }
 
 // Start implements wasabiprocess.Daemon.
-func (c *Control) Start(context.Context) error {
+func (c *Control) Start(context.Context) error { return c.supervisor.Start(false) }
+
+// open starts an instance. join is set if the group exists already.
+func (c *Control) open(join bool, reopened uint64) (*wasabicontrol.Instance, error) {
 	s := c.settings
+	if join {
+		s.Groups = slices.Clone(s.Groups)
+		for k := range s.Groups {
+			s.Groups[k].Join = s.Groups[k].Join || slices.ContainsFunc(s.Groups[k].Members, func(m wasabisettings.Member) bool { return m.Instance == s.Instance })
+		}
+	}
 	clock := wasabievent.NewClock(time.Now)
 	raft := wasabiraft.NewSettings()
 	i, err := wasabicontrol.New(controlSettings(s), wasabicontrol.Parts{
 		Log: &c.log, Clock: clock, Events: wasabievent.NewRing(s.Instance, s.Limits.Events, clock),
-		Raft: raft.WithSnapshots(s.Limits.SnapshotEntries, raft.TrailingEntries),
+		Raft: raft.WithSnapshots(s.Limits.SnapshotEntries, raft.TrailingEntries), Reopened: reopened,
 	})
 	if err != nil {
-		return err
+		return nil, err
 	}
-	c.instance = i
-	return i.Start()
+	if err := i.Start(); err != nil {
+		return nil, err
+	}
+	return i, nil
 }
 
 func controlSettings(s wasabisettings.ControlInstance) wasabicontrol.Settings {
@@ -78,15 +92,10 @@
 }
 
 // Shutdown implements wasabiprocess.Daemon.
-func (c *Control) Shutdown(ctx context.Context) error { return c.instance.Shutdown(ctx) }
+func (c *Control) Shutdown(ctx context.Context) error { return c.supervisor.Shutdown(ctx) }
 
 // Close implements wasabiprocess.Daemon.
-func (c *Control) Close() error {
-	if c.instance == nil {
-		return nil
-	}
-	return c.instance.Close()
-}
+func (c *Control) Close() error { return c.supervisor.Close() }
 
 // String returns the role and the instance.
 func (c *Control) String() string { return "control " + c.settings.Instance }
