Answer 503 for unknown routes without a fresh confirmation

Callers saw 404, which they don't retry, on routes of a confirmed change at nodes that were cut off from control, for as long as that lasted.

Cause: nothing bounded the age of the configuration by which a node answers that it has no route for a request. Also, a revision that the session had received, and that control had confirmed, was not looked at before the gateway had applied it.

Change: without a confirmation newer than the time in which a change must be applied (config_apply_s of the deployment, 2.5 s without), a request without a route is refused as not run with 503, Retry-After and the reason unconfirmed. The age is read before the view that it confirms, and a view that is newer than what is applied is applied first. So a 404 says that no change had added the route that was committed 2.5 s before the request. Requests with a route are served by the last configuration as before, whatever its age.

--- a/internal/operate/wasabitrace/trace.go
+++ b/internal/operate/wasabitrace/trace.go
@@ -137,6 +137,7 @@
 	wasabistand.ReasonShed:            "the upstream refused the request although its node had counted a free slot: see Slots of its heartbeat",
 	wasabistand.ReasonNoInstance:      "all instances were tried, are leaving or are unknown: see their announced lines",
 	wasabistand.ReasonNotReady:        "the process had no configuration or no report of its instance yet: see session.up and instance asked",
+	wasabistand.ReasonUnconfirmed:     "the active revision has no route, and control had not confirmed it for too long: see ConfirmedMsAgo, session.down",
 	wasabistand.ReasonLeaving:         "the instance or the node was leaving: see its heartbeat and stopping lines",
 	wasabistand.ReasonConnect:         "the instance could not be reached; the request was not sent",
 	wasabistand.ReasonLinkLost:        "the connection to the instance's node was lost while that node held the request: see link silent and started",
--- a/internal/traffic/wasabigateway/gateway_test.go
+++ b/internal/traffic/wasabigateway/gateway_test.go
@@ -113,9 +113,10 @@
 
 // control is a fake of the control instances. It gives each node the same view.
 type control struct {
-	mu      sync.Mutex
-	view    atomic.Pointer[wasabistand.View]
-	changed atomic.Pointer[chan struct{}]
+	unconfirmed atomic.Int64 // the age of the last confirmation in nanoseconds
+	mu          sync.Mutex
+	view        atomic.Pointer[wasabistand.View]
+	changed     atomic.Pointer[chan struct{}]
 	// silent suppresses the change signal of announcements.
 	silent atomic.Bool
 	list   []wasabistand.Instance // all announcements
@@ -200,7 +201,7 @@
 	g, err := wasabigateway.New(
 		s.WithHeaders(headers).WithLinkAddress(link.Addr().String()),
 		wasabigateway.Parts{
-			Directory: k, Announce: k.announce, Link: wasabilink.NewOptions("test", name, 1), Listener: link, Callers: callers,
+			Directory: k, Announce: k.announce, Unconfirmed: func() time.Duration { return time.Duration(k.unconfirmed.Load()) }, Link: wasabilink.NewOptions("test", name, 1), Listener: link, Callers: callers,
 			Log: zerolog.Nop(), Random: rand.New(rand.NewPCG(1, 1)), Place: wasabiplace.NewOptions(), Now: now,
 			Admission: func(slots, queue int) wasabistand.Admission {
 				return wasabiadmission.New(wasabiadmission.NewOptions().WithLimit(slots).WithQueueLimit(queue))
--- a/internal/traffic/wasabigateway/ingress.go
+++ b/internal/traffic/wasabigateway/ingress.go
@@ -19,6 +19,8 @@
 const (
 	// retryAfterLeaving is long enough for callers to switch to another node.
 	retryAfterLeaving = 300 * time.Millisecond
+	// retryAfterUnconfirmed is half of the time between two renewals of a session.
+	retryAfterUnconfirmed = 500 * time.Millisecond
 	// defaultRetryAfter is used for refusals that set no time.
 	defaultRetryAfter = 200 * time.Millisecond
 	maxRetryAfter     = 10 * time.Second
@@ -38,6 +40,8 @@
 	// revision is that of the configuration that has no route for the request, 0 for
 	// others.
 	revision uint64
+	// unconfirmed is how long control had not confirmed that revision.
+	unconfirmed time.Duration
 	// arrivedCount counts the attempts that may have reached an upstream,
 	// refusedCount those that have not.
 	arrivedCount int
@@ -112,9 +116,16 @@
 	path := target(r)
 	var ok bool
 	if q.route, ok = c.table.Find(r.Host, path); !ok {
-		q.revision = c.revision
-		g.metrics.unknownRoutes.Inc()
-		return http.StatusNotFound, wasabistand.NewRefusal(wasabistand.ReasonUnknownCall, fmt.Sprintf("host %.64q, path %.64q: no route of revision %d", r.Host, path, c.revision))
+		// What was confirmed is in the view, which may not be applied here yet.
+		age := g.unconfirmed()
+		if v := g.parts.Directory.View(); v != nil && v.Revision > c.revision {
+			g.applyView()
+			c = g.config.Load()
+			q.route, ok = c.table.Find(r.Host, path)
+		}
+		if !ok {
+			return g.refuseUnknownRoute(q, c.revision, age)
+		}
 	}
 	timeout := q.route.Timeout
 	if callerTimeout > 0 {
@@ -151,6 +162,28 @@
 	return 0, nil
 }
 
+// unconfirmed returns how long control has not confirmed the configuration, 0 if that is
+// unknown.
+func (g *Gateway) unconfirmed() time.Duration {
+	if g.parts.Unconfirmed == nil {
+		return 0
+	}
+	return g.parts.Unconfirmed()
+}
+
+// refuseUnknownRoute returns the refusal of a request without a route. If control has not
+// confirmed the revision lately, a change may have added one.
+func (g *Gateway) refuseUnknownRoute(q *request, revision uint64, age time.Duration) (int, *wasabistand.Refusal) {
+	q.revision, q.unconfirmed = revision, age
+	detail := fmt.Sprintf("host %.64q, path %.64q: no route of revision %d", q.x.Request.Host, target(q.x.Request), revision)
+	if age >= g.settings.configurationTime {
+		detail += fmt.Sprintf(", which control last confirmed %.1f s ago", age.Seconds())
+		return http.StatusServiceUnavailable, wasabistand.NewRefusal(wasabistand.ReasonUnconfirmed, detail).WithRetryAfter(retryAfterUnconfirmed)
+	}
+	g.metrics.unknownRoutes.Inc()
+	return http.StatusNotFound, wasabistand.NewRefusal(wasabistand.ReasonUnknownCall, detail)
+}
+
 // isPipelinable reports whether a request may be served concurrently with earlier
 // ones on its connection. It must be retryable: if one of them closes the
 // connection, the caller retries the request.
--- a/internal/traffic/wasabigateway/request_log.go
+++ b/internal/traffic/wasabigateway/request_log.go
@@ -81,10 +81,7 @@
 		Str("Reason", string(r.Reason)).Str("Detail", truncateDetail(r.Detail)).Int("Attempts", len(q.tried)).Int("Arrived", q.arrivedCount).
 		Dur("RetryAfter", r.RetryAfter)
 	if q.revision != 0 {
-		e = e.Uint64("Revision", q.revision)
-		if g.parts.Unconfirmed != nil {
-			e = e.Int64("ConfirmedMsAgo", g.parts.Unconfirmed().Milliseconds())
-		}
+		e = e.Uint64("Revision", q.revision).Int64("ConfirmedMsAgo", q.unconfirmed.Milliseconds())
 	}
 	if q.route != nil {
 		e = e.Str("Route", q.route.Name).Str("Service", q.service).Str("Importance", q.route.Importance.String()).Strs("Tried", q.tried)
--- a/internal/traffic/wasabigateway/settings.go
+++ b/internal/traffic/wasabigateway/settings.go
@@ -59,6 +59,7 @@
 	queueLimit          int
 	instanceWait        time.Duration
 	startupLimit        time.Duration
+	configurationTime   time.Duration
 	maxPlacements       int
 }
 
@@ -90,8 +91,10 @@
 		queueLimit:    400,
 		instanceWait:  time.Second,
 		// After this time without a configuration, control is unavailable.
-		startupLimit:  4 * time.Second,
-		maxPlacements: 4,
+		startupLimit: 4 * time.Second,
+		// Changes must be applied within this time.
+		configurationTime: 2500 * time.Millisecond,
+		maxPlacements:     4,
 	}
 }
 
@@ -148,6 +151,14 @@
 	return s
 }
 
+// WithConfigurationTime returns a copy for changes that must be applied within d after
+// their commit. A node that control has not confirmed for d answers no request as having
+// no route, since a change may have added it.
+func (s Settings) WithConfigurationTime(d time.Duration) Settings {
+	s.configurationTime = d
+	return s
+}
+
 // bodyMemoryDivisor is the divisor of a process's memory that gives the limit for
 // buffered bodies.
 const bodyMemoryDivisor = 6
--- a/refusal.go
+++ b/refusal.go
@@ -21,6 +21,7 @@
 	ReasonNoInstance      Reason = "no-instance"
 	ReasonLeaving         Reason = "leaving"
 	ReasonNotReady        Reason = "not-ready"
+	ReasonUnconfirmed     Reason = "unconfirmed"
 	ReasonClaim           Reason = "claim-unavailable"
 	ReasonClaimHeld       Reason = "already-running"
 	ReasonClaimMismatch   Reason = "key-reused"
--- a/wasabisession/session_stream.go
+++ b/wasabisession/session_stream.go
@@ -45,8 +45,13 @@
 	reasonReturnsHome = "returns-to-region"
 )
 
-// reasonLinkLost is the reason of sessions whose link ended without another one.
-const reasonLinkLost = "link-lost"
+const (
+	// reasonLinkLost is the reason of sessions whose link ended without another one.
+	reasonLinkLost = "link-lost"
+	// reasonOlder is the reason of sessions on which an older revision came than the one
+	// that the node holds.
+	reasonOlder = "older-revision"
+)
 
 // lastFramesTimeout bounds the wait for frames that arrived before the link ended.
 const lastFramesTimeout = 200 * time.Millisecond
@@ -186,46 +191,7 @@
 	s := c.session
 	switch k := f.GetKind().(type) {
 	case *wasabistandv1.ControlFrame_Configuration:
-		u := k.Configuration
-		if u.GetRevision() < s.state.revision {
-			return "older-revision", 0
-		}
-		before, changed := s.state.appliedRevision, u.GetRevision() > s.state.revision
-		s.state.source = c.address
-		if err := s.state.applyConfiguration(u); err != nil {
-			s.record(wasabistand.EventConfigRefused, "parse", wasabistand.HeaderField{Name: "Error", Value: err.Error()})
-		}
-		s.candidates.setAddresses(s.state.controls(s.location().Region))
-		if !c.established {
-			c.established = true
-			// Control confirms its state after the session has started. Later updates
-			// may come from an instance that lags behind.
-			if s.state.appliedRevision == s.state.revision {
-				s.confirm(c.startedAt)
-			}
-			s.candidates.recordSuccess(c.address)
-			if s.candidates.isRegional(c.address) {
-				s.returns = 0
-			}
-			s.record(wasabistand.EventSessionUp, "", wasabistand.HeaderField{Name: "Control", Value: c.address},
-				numberField("Held", c.heldRevision), revisionField(u.GetRevision()))
-		}
-		c.update, c.lacksUpdate = max(c.update, u.GetNumber()), s.state.lacksDocument()
-		if changed || s.state.appliedRevision > before {
-			if s.state.appliedRevision > before {
-				fields := []wasabistand.HeaderField{revisionField(u.GetRevision()), numberField("DocumentRevision", u.GetDocumentRevision()), {Name: "Control", Value: c.address}}
-				if u.GetAgeMs() > 0 {
-					fields = append(fields, numberField("AgeMs", u.GetAgeMs()))
-				}
-				s.record(wasabistand.EventConfigReceived, "", fields...)
-			}
-			// Send the renewal that reports the new revision at once, so that
-			// Status does not lag behind by a renewal interval.
-			s.publish()
-			if !c.renew() {
-				return reasonLinkLost, 0
-			}
-		}
+		return c.handleConfiguration(k.Configuration), 0
 	case *wasabistandv1.ControlFrame_Membership:
 		if _, ok := s.subscriptions.Load(k.Membership.GetService()); ok && !s.state.applyDelta(k.Membership) {
 			c.resync = true
@@ -250,6 +216,58 @@
 	return "", 0
 }
 
+// handleConfiguration applies a configuration update. A non-empty reason ends the session.
+func (c *sessionStream) handleConfiguration(u *wasabistandv1.ConfigurationUpdate) (reason string) {
+	s := c.session
+	if u.GetRevision() < s.state.revision {
+		return reasonOlder
+	}
+	before, isNew := s.state.appliedRevision, u.GetRevision() > s.state.revision
+	s.state.source = c.address
+	if err := s.state.applyConfiguration(u); err != nil {
+		s.record(wasabistand.EventConfigRefused, "parse", wasabistand.HeaderField{Name: "Error", Value: err.Error()})
+	}
+	c.update, c.lacksUpdate = max(c.update, u.GetNumber()), s.state.lacksDocument()
+	s.candidates.setAddresses(s.state.controls(s.location().Region))
+	isApplied := s.state.appliedRevision > before
+	if isNew || isApplied {
+		s.publish()
+	}
+	if !c.established {
+		c.establish(u)
+	}
+	if isApplied {
+		fields := []wasabistand.HeaderField{revisionField(u.GetRevision()), numberField("DocumentRevision", u.GetDocumentRevision()), {Name: "Control", Value: c.address}}
+		if u.GetAgeMs() > 0 {
+			fields = append(fields, numberField("AgeMs", u.GetAgeMs()))
+		}
+		s.record(wasabistand.EventConfigReceived, "", fields...)
+	}
+	// The renewal that reports the new revision is sent at once, so that Status does not
+	// lag behind by a renewal interval.
+	if (isNew || isApplied) && !c.renew() {
+		return reasonLinkLost
+	}
+	return ""
+}
+
+// establish records that the first configuration of the session has arrived.
+func (c *sessionStream) establish(u *wasabistandv1.ConfigurationUpdate) {
+	s := c.session
+	c.established = true
+	// Control confirms its state after the session has started. Later updates may come
+	// from an instance that lags behind. What is confirmed was published before.
+	if s.state.appliedRevision == s.state.revision {
+		s.confirm(c.startedAt)
+	}
+	s.candidates.recordSuccess(c.address)
+	if s.candidates.isRegional(c.address) {
+		s.returns = 0
+	}
+	s.record(wasabistand.EventSessionUp, "", wasabistand.HeaderField{Name: "Control", Value: c.address},
+		numberField("Held", c.heldRevision), revisionField(u.GetRevision()))
+}
+
 func (c *sessionStream) announce() bool {
 	s := c.session
 	s.mu.Lock()
