wasabimesh: let the stress pause changes and send large documents

Change: each time without faults ends with 3 s without changes, after which all confirmed ones must be in force; one document in 25 is 90 times as long.

--- a/internal/process/wasabimesh/stress_faults_test.go
+++ b/internal/process/wasabimesh/stress_faults_test.go
@@ -29,7 +29,11 @@
 func document(random *rand.Rand, content string) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "[[Callers]]\nName = %q\nPatience = \"1s\"\n", content)
-	for k := range random.IntN(100) {
+	size := random.IntN(100)
+	if random.IntN(25) == 0 {
+		size *= 90 // so that snapshots are sent in parts
+	}
+	for k := range size {
 		fmt.Fprintf(&b, "[[Callers]]\nName = \"caller-%d-%d\"\nPatience = \"2s\"\n", k, random.Uint64())
 	}
 	return b.String()
@@ -45,6 +49,10 @@
 // operate sends changes in bursts until the run ends.
 func (s *stress) operate(random *rand.Rand, name string) {
 	for k := 0; time.Now().Before(s.end); k++ {
+		s.mu.Lock()
+		quiet := time.Until(s.quietUntil)
+		s.mu.Unlock()
+		time.Sleep(quiet)
 		base := s.oracle.newest()
 		c := change{base: base, revision: base + 1 + random.Uint64N(4), content: fmt.Sprintf("%s-%d", name, k), valid: true}
 		toml := document(random, c.content)
@@ -164,9 +172,13 @@
 	}
 }
 
-// calmTime is the contact window and the time in which a change must be in force, with
-// some room to see changes.
-const calmTime = contactWindow + applyBound + 500*time.Millisecond
+const (
+	// calmTime is the contact window and the time in which a change must be in force, with
+	// some room to see changes.
+	calmTime = contactWindow + applyBound + time.Second
+	// quietTime ends a calm time. Changes confirmed before it must be in force at its end.
+	quietTime = applyBound + 500*time.Millisecond
+)
 
 // injectFaults injects faults into control instances, with calm times between, until the
 // run ends.
@@ -184,7 +196,11 @@
 			})
 		}
 		wait.Wait()
-		time.Sleep(calmTime)
+		time.Sleep(calmTime - quietTime)
+		s.mu.Lock()
+		s.quietUntil = time.Now().Add(quietTime)
+		s.mu.Unlock()
+		time.Sleep(quietTime)
 	}
 }
 
--- a/internal/process/wasabimesh/stress_test.go
+++ b/internal/process/wasabimesh/stress_test.go
@@ -82,9 +82,12 @@
 	faults   int // in progress at control instances
 	faultAt  time.Time
 	schedule []string
-	starved  int
-	ports    int
-	counts   map[string]int
+	// quietUntil is the time until which operators send no changes, so that nothing
+	// makes up for a push that is lost.
+	quietUntil time.Time
+	starved    int
+	ports      int
+	counts     map[string]int
 }
 
 // setting returns an environment variable that contains a number.
