Say when a node is refused for a revision that its group lacks

A node that holds a later revision than its group has committed is refused with the reason of a control instance without a quorum. That lasts until a copy to the home group or a later change reaches the revision; if a group lost acknowledged changes, until the next change. Accepting it sooner would put an older revision in force at a running node. The refusal now says both revisions, in the lines of both processes.

--- a/wasabicontrol/hub.go
+++ b/wasabicontrol/hub.go
@@ -1,6 +1,7 @@
 package wasabicontrol
 
 import (
+	"fmt"
 	"sync"
 	"time"
 
@@ -205,7 +206,7 @@
 	c, nodeRevision := s.group.machine.current.Load(), start.GetRevision()
 	if c.revision < nodeRevision {
 		// The node has a revision that was not copied to this group yet.
-		return refusal{reason: reasonNotConfirmed}
+		return refusal{reason: reasonNotConfirmed, detail: fmt.Sprintf("revision: %d, group %q has committed %d", nodeRevision, s.group.settings.Name, c.revision)}
 	}
 	if r := h.announce(s, i); r.reason != "" {
 		return r
--- a/wasabicontrol/renewal_test.go
+++ b/wasabicontrol/renewal_test.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"github.com/wasabistand/wasabistand"
 	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
 	"github.com/wasabistand/wasabistand/wasabicontrol"
 	"github.com/wasabistand/wasabistand/wasabilink"
@@ -31,7 +32,15 @@
 // rawNode opens a session that starts with the given frame.
 func (c *cluster) rawNode(t *testing.T, control, id string, start *wasabistandv1.SessionStart) *rawNode {
 	t.Helper()
-	pool := wasabilink.NewPool(wasabilink.NewOptions("test", id, 1), nil)
+	i := instance(id, "reports", 1)
+	i.Sequence, i.AppliedRevision = 1, start.GetRevision()
+	return c.rawSession(t, control, start, i)
+}
+
+// rawSession opens a session that starts with the given frame and announcement.
+func (c *cluster) rawSession(t *testing.T, control string, start *wasabistandv1.SessionStart, i wasabistand.Instance) *rawNode {
+	t.Helper()
+	pool := wasabilink.NewPool(wasabilink.NewOptions("test", i.ID, 1), nil)
 	t.Cleanup(func() { assert.Check(t, pool.Close()) })
 	link, err := pool.Get(t.Context(), c.links[control])
 	assert.NilError(t, err)
@@ -39,8 +48,6 @@
 	assert.NilError(t, err)
 	n := &rawNode{t, stream}
 	n.send(&wasabistandv1.NodeFrame{Kind: &wasabistandv1.NodeFrame_Start{Start: start}})
-	i := instance(id, "reports", 1)
-	i.Sequence, i.AppliedRevision = 1, start.GetRevision()
 	n.send(&wasabistandv1.NodeFrame{Kind: &wasabistandv1.NodeFrame_Announce{Announce: wasabiwire.FromInstance(i)}})
 	return n
 }
