--- a/wasabicontrol/distance.go
+++ b/wasabicontrol/distance.go
@@ -79,8 +79,12 @@
 		return
 	}
 	c := p.configuration
-	h.instance.log.Info().Str("Group", g.settings.Name).Uint64("Revision", c.revision).Uint64("DocumentRevision", c.documentRevision).
-		Int("Sessions", p.sent).Int("Skipped", p.skipped).Int64("AgeMs", now.Sub(c.appliedAt).Milliseconds()).Msg("configuration pushed")
+	e := h.instance.log.Info().Str("Group", g.settings.Name).Uint64("Revision", c.revision).Uint64("DocumentRevision", c.documentRevision).
+		Int("Sessions", p.sent).Int("Skipped", p.skipped)
+	if !c.appliedAt.IsZero() {
+		e = e.Int64("AgeMs", now.Sub(c.appliedAt).Milliseconds())
+	}
+	e.Msg("configuration pushed")
 }
 
 // logSessionStart logs what a node held and what it was sent.
