Close a claim stream that is replaced while its link is suspect

A node could not close its session, so that its process stayed until it was killed. Seen once: go test -race ./wasabicontrol beside other runs (arm64) stood still for three minutes in Session.Close.

Cause: while the link to the member of a home group does not answer, its stream counts as unusable, and the next claim opens another one on a new link. The old stream was forgotten without being closed. If its link recovered, its reader went on, and Close waited for it without an end.

Change: a replaced stream is closed later, like one whose member did not serve: once no claim sent on it can still be granted, or at the close of the session.

Failure of the test without the change (arm64):

TestSessionClosesAfterSuspectLink: the session does not close (10.79s)

--- a/wasabisession/home_client.go
+++ b/wasabisession/home_client.go
@@ -135,6 +135,10 @@
 		}
 		return c, c.address
 	}
+	if old := h.stream; old != nil {
+		// Its link is suspect, but may recover.
+		h.wait.Go(old.closeDelayed)
+	}
 	c := &claimStream{address: address, stream: stream, pending: map[uint64]chan *wasabistandv1.ClaimResponse{}, requests: make(chan *wasabistandv1.ClaimRequest, 256), done: make(chan struct{}), shutdown: h.claims.ctx.Done()}
 	c.lastResponse.Store(time.Now().UnixNano())
 	h.stream = c
