wasabicontrol: play the removal of a member whose disk stays full

Cause: it was not known whether a member that is full for longer than a silent member may be comes back by itself.

Change: TestMemberOnFullDiskLearnsOfItsRemoval fills the disk of the leader of a group that replaces its members. A change that is sent to it is acknowledged, it is replaced, it learns of that while its disk is still full, and it serves the change after it has joined on an empty disk.

--- a/wasabicontrol/disk_test.go
+++ b/wasabicontrol/disk_test.go
@@ -89,6 +89,16 @@
 	}
 }
 
+// memoryDisks are in-memory disks by instance.
+type memoryDisks map[string]*wasabifault.Memory
+
+func (d memoryDisks) get(id string) wasabidisk.FS {
+	if d[id] == nil {
+		d[id] = wasabifault.New()
+	}
+	return d[id]
+}
+
 // TestDisksFullInTurnKeepAcceptingChanges guards against a group that refuses changes for good after its disks refused syncs one after another.
 func TestDisksFullInTurnKeepAcceptingChanges(t *testing.T) {
 	for name, f := range map[string]wasabifault.Fault{
@@ -96,13 +106,8 @@
 		"error": {Err: syscall.EIO, Operations: []wasabifault.Operation{wasabifault.Sync}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			disks := map[string]*wasabifault.Memory{}
-			c := newClusterOnDisks(t, 5, 0, nil, func(id string) wasabidisk.FS {
-				if disks[id] == nil {
-					disks[id] = wasabifault.New()
-				}
-				return disks[id]
-			})
+			disks := memoryDisks{}
+			c := newClusterOnDisks(t, 5, 0, nil, disks.get)
 			ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
 			defer cancel()
 			k := &changes{c: c, stop: make(chan struct{})}
@@ -138,3 +143,38 @@
 		})
 	}
 }
+
+// TestMemberOnFullDiskLearnsOfItsRemoval guards against a member that stays out of the group because its disk was full when it was replaced.
+func TestMemberOnFullDiskLearnsOfItsRemoval(t *testing.T) {
+	disks := memoryDisks{}
+	c := newFormedClusterOnDisks(t, disks.get)
+	c.awaitVoters(t, c.ids...)
+	full := c.leader(t)
+	var others []string
+	for _, id := range c.ids {
+		if id != full {
+			others = append(others, id)
+		}
+	}
+	disks[full].Inject(wasabifault.Fault{Err: syscall.ENOSPC, Operations: []wasabifault.Operation{wasabifault.Sync}})
+	a, err := c.applyNumbered(full, 0, 1, "1s")
+	assert.NilError(t, err)
+	c.startJoining("control-6")
+	c.awaitVoters(t, append(others, "control-6")...)
+	select {
+	case <-c.instances[full].Removed():
+	case <-time.After(waitTimeout):
+		t.Fatal("the member is not told that it was removed")
+	}
+	c.kill(full)
+	disks[full] = wasabifault.New()
+	c.joins[full] = true
+	c.restart(full)
+	for {
+		got, err := c.operator(full, readToken).GetConfiguration(t.Context(), connect.NewRequest(&wasabistandv1.GetConfigurationRequest{}))
+		if err == nil && got.Msg.GetRevision() == a.GetRevision() {
+			break
+		}
+		assert.Assert(t, err == nil || connect.CodeOf(err) == connect.CodeUnavailable, "%v", err)
+	}
+}
--- a/wasabicontrol/membership_test.go
+++ b/wasabicontrol/membership_test.go
@@ -15,6 +15,7 @@
 	"github.com/wasabistand/wasabistand"
 	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
 	"github.com/wasabistand/wasabistand/wasabicontrol"
+	"github.com/wasabistand/wasabistand/wasabidisk"
 	"github.com/wasabistand/wasabistand/wasabilink"
 )
 
@@ -22,7 +23,12 @@
 // three initial members. The last two join.
 func newFormedCluster(t *testing.T) *cluster {
 	t.Helper()
-	c := newCluster(t, 3, 0, func(s wasabicontrol.Settings) wasabicontrol.Settings { return s.WithAutoMembership(2) })
+	return newFormedClusterOnDisks(t, func(string) wasabidisk.FS { return nil })
+}
+
+func newFormedClusterOnDisks(t *testing.T, disk func(id string) wasabidisk.FS) *cluster {
+	t.Helper()
+	c := newClusterOnDisks(t, 3, 0, func(s wasabicontrol.Settings) wasabicontrol.Settings { return s.WithAutoMembership(2) }, disk)
 	for i := range 2 {
 		c.startJoining(fmt.Sprintf("control-%d", i+4))
 	}
