wasabidisk: check that compaction makes room on a full disk

Cause: nothing checked that a store whose next batch was refused can still remove old segments, which is what makes room.

Change: TestCompactionMakesRoom.

Conclusion: no change to the code.

--- a/wasabidisk/refusal_test.go
+++ b/wasabidisk/refusal_test.go
@@ -175,3 +175,21 @@
 	}
 	assert.NilError(t, err)
 }
+
+// TestCompactionMakesRoom guards against a store that can't remove old segments because the disk is so full that it takes no batch.
+func TestCompactionMakesRoom(t *testing.T) {
+	d := &storeModel{fs: wasabifault.New(), segmentBytes: 100}
+	d.open(t)
+	save := func(i uint64) error {
+		h := &wasabistandv1.HardState{Term: 1, CommitIndex: i}
+		return d.store.Save(h, []*wasabistandv1.LogEntry{{Index: i, Term: 1, Data: make([]byte, 40)}})
+	}
+	for i := uint64(1); i <= 20; i++ {
+		assert.NilError(t, save(i))
+	}
+	assert.NilError(t, d.store.SaveSnapshot(&wasabistandv1.LogSnapshot{Index: 20, Term: 1}))
+	d.fs.SetCapacity(d.fs.Used())
+	assert.Assert(t, wasabidisk.ErrFull.Has(save(21)))
+	assert.NilError(t, d.store.Compact(20))
+	assert.NilError(t, save(21))
+}
