wasabicontrol: tests close kept connections of killed instances

Cause: after all instances were killed and started again at the same addresses, a request could go out on a connection of the killed instance and fail with "broken pipe".

Change: killing an instance in a test closes the client's idle connections.

Conclusion: the fault was in the test.

--- a/wasabicontrol/cluster_test.go
+++ b/wasabicontrol/cluster_test.go
@@ -180,6 +180,8 @@
 func (c *cluster) kill(id string) {
 	assert.Check(c.t, c.instances[id].Close())
 	delete(c.instances, id)
+	// A request on a kept connection of the instance would fail after its restart.
+	http.DefaultClient.CloseIdleConnections()
 }
 
 const (
