Proxy before the links of control instances in a soak

Cause: signals stop whole processes; links that are slow, silent in one direction or reset were not played. Change: wasabiproxy forwards connections and delays, silences or resets them. A control instance can accept links at network.listen.links while it announces its link address, where the proxy listens. Harmed links count as a disturbance of control. Rounds that begin late are left out, so that the last changes are judged in calm.

--- a/internal/process/wasabimesh/control.go
+++ b/internal/process/wasabimesh/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -51,6 +52,9 @@
 	Folder   string
 	// Link, API and Operators are the addresses on which the instance listens.
 	Link, API, Operators string
+	// LinkListen, if set, is where the instance accepts links in place of Link. What
+	// listens on Link must forward connections to it.
+	LinkListen string
 	// InitialMembers are the members of a new group.
 	InitialMembers []wasabicontrol.Member
 	// Join reports whether the group exists already or is bootstrapped by other
@@ -104,6 +108,13 @@
 
 func (c *ControlDaemon) open(join bool) (*wasabicontrol.Instance, error) {
 	s := c.settings
+	var links net.Listener
+	if s.LinkListen != "" {
+		var err error
+		if links, err = net.Listen("tcp", s.LinkListen); err != nil {
+			return nil, err
+		}
+	}
 	i, err := wasabicontrol.New(wasabicontrol.NewSettings(s.Cluster, s.Instance, s.Folder).
 		WithLocation(s.Location).WithAddresses(s.Link, s.API).
 		WithGroups(wasabicontrol.Group{Name: wasabicontrol.RootGroup, Members: s.InitialMembers, Join: join}).
@@ -111,7 +122,7 @@
 		WithConfirm(confirmTimeout, confirmInterval, quorumLossTimeout).
 		WithAutoMembership(s.ToleratedDiskLosses).WithRevisions(maxRevisions, maxRevisionBytes),
 		wasabicontrol.Parts{
-			Log: &c.log,
+			Log: &c.log, LinkListener: links,
 			Links: func(o wasabilink.Options) wasabilink.Options {
 				return o.WithHeartbeat(linkPingInterval, linkSuspectAfter, linkSilentAfter)
 			},
@@ -119,6 +130,9 @@
 				WithSnapshots(snapshotEntries, trailingEntries),
 		})
 	if err != nil {
+		if links != nil {
+			err = errors.Join(err, links.Close())
+		}
 		return nil, err
 	}
 	if err := i.Start(); err != nil {
--- a/internal/soak/wasabioracle/oracle.go
+++ b/internal/soak/wasabioracle/oracle.go
@@ -161,6 +161,7 @@
 	controlFaultAt time.Duration
 	minorityAt     time.Duration // the last time at which half of control or fewer ran
 	down           map[string]bool
+	harmed         map[string]bool // control instances whose links are harmed
 	runs           map[string]*runs
 	added, first   struct{ asked, served int }
 	counts         Counts
@@ -171,7 +172,7 @@
 
 // New returns an oracle that has seen nothing.
 func New(s Settings) *Oracle {
-	return &Oracle{settings: s, byID: map[string]*state{}, nodes: map[string]*node{}, down: map[string]bool{},
+	return &Oracle{settings: s, byID: map[string]*state{}, nodes: map[string]*node{}, down: map[string]bool{}, harmed: map[string]bool{},
 		runs: map[string]*runs{}, controlFaultAt: never, minorityAt: never}
 }
 
@@ -204,6 +205,17 @@
 	}
 }
 
+// LinkFault records that links of a control instance are harmed from now on, or no
+// longer. No machine is in touch meanwhile.
+func (o *Oracle) LinkFault(name string, at time.Duration, harmed bool) {
+	if harmed {
+		o.harmed[name] = true
+	} else {
+		delete(o.harmed, name)
+	}
+	o.ControlFault(name, at, !harmed)
+}
+
 // Stall records that the run itself was held up, so that no bound can be judged
 // fairly around it.
 func (o *Oracle) Stall(at time.Duration) {
@@ -234,7 +246,7 @@
 
 // calm reports whether control was undisturbed for the whole contact window.
 func (o *Oracle) calm(at time.Duration) bool {
-	return !o.minority() && at-o.controlFaultAt > o.settings.Contact && at-o.minorityAt > 2*o.settings.Contact
+	return !o.minority() && len(o.harmed) == 0 && at-o.controlFaultAt > o.settings.Contact && at-o.minorityAt > 2*o.settings.Contact
 }
 
 // ran reports whether the node ran for the whole contact window.
--- a/internal/soak/wasabioracle/oracle_test.go
+++ b/internal/soak/wasabioracle/oracle_test.go
@@ -120,6 +120,23 @@
 			g.ControlFault("x", at-time.Second, true)
 			g.answer("n", "/c2/", "", at)
 		}, nil},
+		{"links of control were harmed until shortly before", func(g *game) {
+			g.LinkFault("x", calm-10*time.Second, true)
+			g.confirmed()
+			g.LinkFault("x", late-2*time.Second, false)
+			g.answer("n", "/c2/", "", late)
+		}, nil},
+		{"links of control are harmed for long", func(g *game) {
+			g.LinkFault("x", calm-10*time.Second, true)
+			g.confirmed()
+			g.answer("n", "/c2/", "", late)
+		}, nil},
+		{"links of control were harmed long before", func(g *game) {
+			g.LinkFault("x", calm-10*time.Second, true)
+			g.LinkFault("x", calm-9*time.Second, false)
+			g.confirmed()
+			g.answer("n", "/c2/", "", late)
+		}, []string{wasabioracle.RuleStale}},
 		{"the run itself was held up", func(g *game) {
 			g.confirmed()
 			g.Stall(late - time.Second)
--- a/internal/soak/wasabisoak/machines.go
+++ b/internal/soak/wasabisoak/machines.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/wasabistand/wasabistand/internal/soak/wasabifleet"
+	"github.com/wasabistand/wasabistand/internal/soak/wasabiproxy"
 )
 
 // Locations of machines: two failure domains in each of three regions.
@@ -33,6 +34,7 @@
 	hit     sync.Mutex
 	mu      sync.Mutex
 	process *wasabifleet.Process
+	proxy   *wasabiproxy.Proxy // before its links, or nil
 }
 
 // newMachines returns machines at addresses of one free network.
@@ -50,6 +52,7 @@
 			if role == Node {
 				m.Name, m.Service = fmt.Sprintf("node-%02d", number), services[number%len(services)]
 			}
+			m.Proxied = s.Proxy && role == Control
 			m.Folder = filepath.Join(s.Folder, m.Name)
 			return m
 		}
@@ -144,7 +147,7 @@
 	}
 	m := r.nodes[f.Target%len(r.nodes)]
 	switch f.Kind {
-	case FreezeControl, KillControl, StopControl:
+	case FreezeControl, KillControl, StopControl, CutLinks, SilenceLinks, ResetLinks:
 		m = r.controls[f.Target%len(r.controls)]
 		if !r.claimControl() {
 			return
@@ -167,6 +170,8 @@
 		r.record(m, false, false)
 		m.signal(syscall.SIGCONT)
 		r.record(m, true, false)
+	case CutLinks, SilenceLinks, ResetLinks:
+		r.harmLinks(ctx, m, f)
 	case KillControl, KillNode:
 		r.restart(ctx, m, syscall.SIGKILL, f.For)
 	case StopControl, StopNode:
@@ -216,6 +221,60 @@
 	r.logf("fault %s ends", f.Kind)
 }
 
+// Delays between regions. Two of three connections cross regions.
+const (
+	linkDelay      = 10 * time.Millisecond // one way
+	linkDelayShare = 2.0 / 3
+)
+
+// startProxies puts a proxy before the links of each control instance.
+func (r *run) startProxies() error {
+	for _, m := range r.controls {
+		if !m.Proxied {
+			continue
+		}
+		announced, behind := r.platform.LinkAddresses(m.Machine)
+		p, err := wasabiproxy.New(wasabiproxy.Settings{Listen: announced, Target: behind, Delay: linkDelay, DelayShare: linkDelayShare})
+		if err != nil {
+			return err
+		}
+		m.proxy = p
+	}
+	return nil
+}
+
+func (r *run) closeProxies() {
+	for _, m := range r.controls {
+		if m.proxy != nil {
+			// A proxy that is closed late harms no run.
+			_ = m.proxy.Close()
+		}
+	}
+}
+
+// harmLinks cuts, silences or resets links to a control instance.
+func (r *run) harmLinks(ctx context.Context, m *machine, f Fault) {
+	record := func(harmed bool) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.oracle.LinkFault(m.Name, r.now(), harmed)
+	}
+	record(true)
+	switch f.Kind {
+	case CutLinks:
+		m.proxy.SetRule(wasabiproxy.Rule{In: true, Out: true, Share: f.Share})
+	case SilenceLinks:
+		m.proxy.SetRule(wasabiproxy.Rule{In: f.Inward, Out: !f.Inward, Share: f.Share})
+	case ResetLinks:
+		m.proxy.Reset(f.Share)
+	}
+	if f.Kind != ResetLinks {
+		sleep(ctx, f.For)
+		m.proxy.SetRule(wasabiproxy.Rule{})
+	}
+	record(false)
+}
+
 // busy uses one core for a while, in a process of its own.
 func (r *run) busy(ctx context.Context, long time.Duration) {
 	p, err := r.fleet.Start("busy", "/bin/sh", []string{"-c", "while :; do :; done"}, nil)
--- a/internal/soak/wasabisoak/operator.go
+++ b/internal/soak/wasabisoak/operator.go
@@ -116,7 +116,8 @@
 // play plays the rounds of the plan one after another.
 func (o *operators) play(ctx context.Context, begin time.Duration) {
 	for _, round := range o.run.plan.Rounds {
-		if ctx.Err() != nil {
+		// Changes that take long delay the rounds behind them.
+		if ctx.Err() != nil || o.run.now()-begin > o.run.plan.LastChange {
 			return
 		}
 		sleep(ctx, begin+round.At-o.run.now())
--- a/internal/soak/wasabisoak/plan.go
+++ b/internal/soak/wasabisoak/plan.go
@@ -20,13 +20,16 @@
 	FreezeNode    Kind = "freeze-node"
 	KillNode      Kind = "kill-node"
 	StopNode      Kind = "stop-node"
-	ReloadNode    Kind = "reload-node" // SIGHUP
-	Busy          Kind = "busy"        // a process that uses one core
+	ReloadNode    Kind = "reload-node"   // SIGHUP
+	Busy          Kind = "busy"          // a process that uses one core
+	CutLinks      Kind = "cut-links"     // links to a control instance pass nothing
+	SilenceLinks  Kind = "silence-links" // they pass one direction only
+	ResetLinks    Kind = "reset-links"
 )
 
 // Kinds returns all kinds of faults.
 func Kinds() []Kind {
-	return []Kind{FreezeControl, KillControl, StopControl, KillAll, FreezeNode, KillNode, StopNode, ReloadNode, Busy}
+	return []Kind{FreezeControl, KillControl, StopControl, KillAll, FreezeNode, KillNode, StopNode, ReloadNode, Busy, CutLinks, SilenceLinks, ResetLinks}
 }
 
 // ParseKinds parses a list of kinds that are separated by commas. "none" and "all"
@@ -53,6 +56,9 @@
 	At, For time.Duration
 	Kind    Kind
 	Target  int // the machine's number among those of its role
+	// Share of the links is harmed, and Inward tells which direction is silent.
+	Share  float64
+	Inward bool
 }
 
 // Round is one planned group of changes of operators, one after another. A pair is
@@ -73,6 +79,9 @@
 type Plan struct {
 	Faults []Fault
 	Rounds []Round
+	// LastChange is the time after which no round begins, so that the effect of the
+	// last changes is judged while nothing is disturbed.
+	LastChange time.Duration
 }
 
 // Times of a plan.
@@ -90,6 +99,10 @@
 	var ofControl, ofNodes []Kind
 	for _, k := range s.Faults {
 		switch k {
+		case CutLinks, SilenceLinks, ResetLinks:
+			if s.Proxy {
+				ofControl = append(ofControl, k)
+			}
 		case FreezeControl, KillControl, StopControl, KillAll:
 			ofControl = append(ofControl, k)
 		default:
@@ -100,7 +113,8 @@
 	p.Faults = append(p.Faults, drawControl(rand.New(rand.NewPCG(s.Seed, 1)), s, ofControl, windows)...)
 	p.Faults = append(p.Faults, drawNodes(rand.New(rand.NewPCG(s.Seed, 2)), s, ofNodes, end)...)
 	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return int(a.At - b.At) })
-	p.Rounds = drawRounds(rand.New(rand.NewPCG(s.Seed, 3)), s, windows, end)
+	p.LastChange = end + quietTime/3
+	p.Rounds = drawRounds(rand.New(rand.NewPCG(s.Seed, 3)), s, windows, end, p.LastChange)
 	return p
 }
 
@@ -144,6 +158,10 @@
 			if f.Kind == KillAll && r.IntN(2) == 0 {
 				f.Kind = kinds[r.IntN(len(kinds))]
 			}
+			switch f.Kind {
+			case CutLinks, SilenceLinks, ResetLinks:
+				f.Share, f.Inward = []float64{0.5, 1}[r.IntN(2)], r.IntN(2) == 0
+			}
 			list = append(list, f)
 		}
 	}
@@ -163,15 +181,14 @@
 	}
 }
 
-func drawRounds(r *rand.Rand, s Settings, windows []window, end time.Duration) (list []Round) {
+func drawRounds(r *rand.Rand, s Settings, windows []window, end, last time.Duration) (list []Round) {
 	for at := 500 * time.Millisecond; ; {
 		if r.IntN(3) == 0 {
 			at += between(r, 1500*time.Millisecond, 4*time.Second)
 		} else {
 			at += between(r, 50*time.Millisecond, time.Second)
 		}
-		// Changes end before the quiet time does, so that their effect is judged.
-		if at >= end+quietTime/3 {
+		if at >= last {
 			return list
 		}
 		round := Round{At: at, Gap: between(r, 0, 120*time.Millisecond), Count: 1 + r.IntN(3),
--- a/internal/soak/wasabisoak/plan_test.go
+++ b/internal/soak/wasabisoak/plan_test.go
@@ -10,7 +10,7 @@
 )
 
 func settings(seed uint64) wasabisoak.Settings {
-	return wasabisoak.Settings{Seed: seed, Duration: time.Minute, Nodes: 12, Controls: 5, Cores: 1, Faults: wasabisoak.Kinds()}
+	return wasabisoak.Settings{Seed: seed, Duration: time.Minute, Nodes: 12, Controls: 5, Cores: 1, Proxy: true, Faults: wasabisoak.Kinds()}
 }
 
 // A seed that failed is only of use if it gives the same plan again.
--- a/internal/soak/wasabisoak/run.go
+++ b/internal/soak/wasabisoak/run.go
@@ -61,6 +61,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer r.closeProxies()
 	// The processes end before the function returns, also when it fails.
 	defer func() {
 		r.mu.Lock()
@@ -73,6 +74,9 @@
 	if r.controls, r.nodes, err = newMachines(s, p); err != nil {
 		return Report{}, err
 	}
+	if err := r.startProxies(); err != nil {
+		return Report{}, err
+	}
 	if err := r.play(ctx); err != nil {
 		return r.report(), err
 	}
--- a/internal/soak/wasabisoak/soak.go
+++ b/internal/soak/wasabisoak/soak.go
@@ -28,9 +28,12 @@
 	Controls int
 	Cores    int // of each process
 	Faults   []Kind
-	Program  string // path of the program that the machines run
-	Folder   string // for settings, data and logs; it must exist
-	Bounds   wasabioracle.Settings
+	// Proxy puts a proxy before the links of each control instance. The program must
+	// be of a build whose settings allow that.
+	Proxy   bool
+	Program string // path of the program that the machines run
+	Folder  string // for settings, data and logs; it must exist
+	Bounds  wasabioracle.Settings
 }
 
 // Role is what a machine runs.
@@ -49,6 +52,7 @@
 	Service                         string // of the upstream instance beside a node
 	Folder                          string // for its data
 	Cores                           int
+	Proxied                         bool // a proxy stands before its links
 }
 
 // Route is a route of a change.
@@ -113,6 +117,9 @@
 	// Settings returns the text of the settings file of a machine. The first control
 	// instances form the group.
 	Settings(m Machine, controls []Machine) string
+	// LinkAddresses returns the address that a control instance announces for links,
+	// and the one on which it accepts them behind a proxy.
+	LinkAddresses(m Machine) (announced, behind string)
 	// Command returns the arguments and the environment of a machine's program.
 	Command(m Machine, settingsPath string) (arguments, environment []string)
 	// Free reports whether the addresses of a machine can be used.
