Soak: crowd the nodes of some runs at one control instance and freeze it in bursts

Cause: with five control instances and twelve nodes each instance serves two or three sessions, too few for faults that need many sessions during one push.

--- a/internal/soak/wasabisoak/machines.go
+++ b/internal/soak/wasabisoak/machines.go
@@ -37,8 +37,20 @@
 	proxy   *wasabiproxy.Proxy // before its links, or nil
 }
 
+// place returns the number of a machine's location. Regions have every third number.
+func place(crowd int, role Role, number int) int {
+	const regions, crowded = 3, 2
+	switch {
+	case crowd < 0:
+		return number % len(locations)
+	case role == Node || number == crowd:
+		return crowded + regions*(number%2)
+	}
+	return number%crowded + regions*(number/crowded%2)
+}
+
 // newMachines returns machines at addresses of one free network.
-func newMachines(s Settings, p Platform) (controls, nodes []*machine, err error) {
+func newMachines(s Settings, crowd int, p Platform) (controls, nodes []*machine, err error) {
 	const attempts = 50
 	for range attempts {
 		network := fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250))
@@ -46,7 +58,7 @@
 		add := func(role Role, number int) *machine {
 			m := &machine{number: number}
 			host := len(controls) + len(nodes) + 1
-			l := locations[number%len(locations)]
+			l := locations[place(crowd, role, number)]
 			m.Machine = Machine{IP: fmt.Sprintf("%s.%d", network, host), Role: role, FailureDomain: l.failureDomain, Region: l.region, Cores: s.Cores}
 			m.Name = fmt.Sprintf("control-%d", number)
 			if role == Node {
--- a/internal/soak/wasabisoak/operator.go
+++ b/internal/soak/wasabisoak/operator.go
@@ -136,6 +136,9 @@
 		v.change = o.change(v, base.number)
 		o.send(ctx, v, base.number, false, nil)
 	}
+	if round.Early.Kind != "" {
+		o.faults.Go(func() { o.run.inject(ctx, round.Early) })
+	}
 	for i := range round.Count {
 		if ctx.Err() != nil {
 			return
--- a/internal/soak/wasabisoak/plan.go
+++ b/internal/soak/wasabisoak/plan.go
@@ -73,12 +73,18 @@
 	// Aim is a fault that hits the control instance that acknowledged, or a node,
 	// as soon as the last change is acknowledged. It may be empty.
 	Aim Fault
+	// Early is a fault of control that begins with the round, so that an instance
+	// catches up on many changes at once. Its kind may be empty.
+	Early Fault
 }
 
 // Plan is what one run injects. It depends on the settings only.
 type Plan struct {
 	Faults []Fault
 	Rounds []Round
+	// Crowd is the number of the control instance that is alone in the region of all
+	// nodes, which makes it serve most sessions, or -1.
+	Crowd int
 	// LastChange is the time after which no round begins, so that the effect of the
 	// last changes is judged while nothing is disturbed.
 	LastChange time.Duration
@@ -113,8 +119,13 @@
 	p.Faults = append(p.Faults, drawControl(rand.New(rand.NewPCG(s.Seed, 1)), s, ofControl, windows)...)
 	p.Faults = append(p.Faults, drawNodes(rand.New(rand.NewPCG(s.Seed, 2)), s, ofNodes, end)...)
 	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return int(a.At - b.At) })
+	layout := rand.New(rand.NewPCG(s.Seed, 6))
+	p.Crowd = layout.IntN(s.Controls)
+	if layout.IntN(2) == 0 {
+		p.Crowd = -1
+	}
 	p.LastChange = end + quietTime/3
-	p.Rounds = drawRounds(rand.New(rand.NewPCG(s.Seed, 3)), s, windows, end, p.LastChange)
+	p.Rounds = drawRounds(rand.New(rand.NewPCG(s.Seed, 3)), s, p.Crowd, windows, end, p.LastChange)
 	return p
 }
 
@@ -181,7 +192,7 @@
 	}
 }
 
-func drawRounds(r *rand.Rand, s Settings, windows []window, end, last time.Duration) (list []Round) {
+func drawRounds(r *rand.Rand, s Settings, crowd int, windows []window, end, last time.Duration) (list []Round) {
 	for at := 500 * time.Millisecond; ; {
 		if r.IntN(3) == 0 {
 			at += between(r, 1500*time.Millisecond, 4*time.Second)
@@ -208,6 +219,12 @@
 				}
 			}
 		}
+		if early := crowd; r.IntN(2) == 0 && round.Count > 4 && at < end && slices.Contains(s.Faults, FreezeControl) {
+			if early < 0 {
+				early = r.IntN(s.Controls)
+			}
+			round.Early = Fault{Kind: FreezeControl, Target: early, For: between(r, 200*time.Millisecond, 1500*time.Millisecond)}
+		}
 		list = append(list, round)
 	}
 }
@@ -215,12 +232,15 @@
 // String returns the plan with one event on each line.
 func (p Plan) String() string {
 	var b strings.Builder
+	if p.Crowd >= 0 {
+		fmt.Fprintf(&b, "control instance %d is alone in the region of all nodes\n", p.Crowd)
+	}
 	for _, f := range p.Faults {
 		fmt.Fprintf(&b, "fault %8.3f s %-14s %2d for %.3f s\n", f.At.Seconds(), f.Kind, f.Target, f.For.Seconds())
 	}
 	for _, r := range p.Rounds {
-		fmt.Fprintf(&b, "round %8.3f s %2d changes, gap %.3f s, pair %v, invalid %v, lose %v, resend %v, aim %s %d for %.3f s\n", r.At.Seconds(),
-			r.Count, r.Gap.Seconds(), r.Pair, r.Invalid, r.Lose, r.Resend, r.Aim.Kind, r.Aim.Target, r.Aim.For.Seconds())
+		fmt.Fprintf(&b, "round %8.3f s %2d changes, gap %.3f s, pair %v, invalid %v, lose %v, resend %v, aim %s %d for %.3f s, early %s %d for %.3f s\n", r.At.Seconds(),
+			r.Count, r.Gap.Seconds(), r.Pair, r.Invalid, r.Lose, r.Resend, r.Aim.Kind, r.Aim.Target, r.Aim.For.Seconds(), r.Early.Kind, r.Early.Target, r.Early.For.Seconds())
 	}
 	return b.String()
 }
--- a/internal/soak/wasabisoak/plan_test.go
+++ b/internal/soak/wasabisoak/plan_test.go
@@ -24,9 +24,12 @@
 // because it plays nothing.
 func TestPlanPlaysAllKinds(t *testing.T) {
 	faults := map[wasabisoak.Kind]int{}
-	var pairs, invalid, lost, resent, aimed, bursts int
+	var pairs, invalid, lost, resent, aimed, bursts, early, crowds int
 	for seed := range uint64(20) {
 		p := wasabisoak.NewPlan(settings(seed))
+		if p.Crowd >= 0 {
+			crowds++
+		}
 		for _, f := range p.Faults {
 			assert.Assert(t, f.At > 0 && f.At < time.Minute && f.For > 0, "%+v", f)
 			faults[f.Kind]++
@@ -36,7 +39,7 @@
 			for _, c := range []struct {
 				set   bool
 				count *int
-			}{{r.Pair, &pairs}, {r.Invalid, &invalid}, {r.Lose, &lost}, {r.Resend, &resent}, {r.Aim.Kind != "", &aimed}, {r.Count > 4, &bursts}} {
+			}{{r.Pair, &pairs}, {r.Invalid, &invalid}, {r.Lose, &lost}, {r.Resend, &resent}, {r.Aim.Kind != "", &aimed}, {r.Count > 4, &bursts}, {r.Early.Kind != "", &early}} {
 				if c.set {
 					*c.count++
 				}
@@ -46,7 +49,7 @@
 	for _, k := range wasabisoak.Kinds() {
 		assert.Assert(t, faults[k] > 0, "%s", k)
 	}
-	for _, n := range []int{pairs, invalid, lost, resent, aimed, bursts} {
+	for _, n := range []int{pairs, invalid, lost, resent, aimed, bursts, early, crowds} {
 		assert.Assert(t, n > 0)
 	}
 	calm := settings(1)
@@ -55,6 +58,7 @@
 	assert.Equal(t, len(p.Faults), 0)
 	for _, r := range p.Rounds {
 		assert.Equal(t, r.Aim.Kind, wasabisoak.Kind(""))
+		assert.Equal(t, r.Early.Kind, wasabisoak.Kind(""))
 	}
 }
 
--- a/internal/soak/wasabisoak/run.go
+++ b/internal/soak/wasabisoak/run.go
@@ -71,7 +71,7 @@
 		r.mu.Unlock()
 		_ = r.fleet.Close()
 	}()
-	if r.controls, r.nodes, err = newMachines(s, p); err != nil {
+	if r.controls, r.nodes, err = newMachines(s, r.plan.Crowd, p); err != nil {
 		return Report{}, err
 	}
 	if err := r.startProxies(); err != nil {
