Soak: leave time after changes, since the next change hides a lost one

Change: half of the rounds are followed by 3 to 5 s without changes, and calm times of control are 6 to 10 s.

--- a/internal/soak/wasabisoak/plan.go
+++ b/internal/soak/wasabisoak/plan.go
@@ -148,13 +148,13 @@
 
 func drawWindows(r *rand.Rand, end time.Duration) (list []window) {
 	for at := leadTime; ; {
-		at += between(r, 0, 6*time.Second)
+		at += between(r, 0, 4*time.Second)
 		if at >= end {
 			return list
 		}
 		w := window{at, min(at+between(r, 100*time.Millisecond, 4*time.Second), end)}
 		list = append(list, w)
-		at = w.end + between(r, 3500*time.Millisecond, 7*time.Second)
+		at = w.end + between(r, 6*time.Second, 10*time.Second)
 	}
 }
 
@@ -194,8 +194,10 @@
 
 func drawRounds(r *rand.Rand, s Settings, crowd int, windows []window, end, last time.Duration) (list []Round) {
 	for at := 500 * time.Millisecond; ; {
-		if r.IntN(3) == 0 {
-			at += between(r, 1500*time.Millisecond, 4*time.Second)
+		// The next change hides one that got lost. Half of the rounds are followed by a
+		// time that is longer than the bound.
+		if r.IntN(2) == 0 {
+			at += between(r, 3*time.Second, 5*time.Second)
 		} else {
 			at += between(r, 50*time.Millisecond, time.Second)
 		}
