Soak: faster bursts while a control instance stands still, and calm after them

Cause: operators began at any control instance, also at the one that stood still, which stretched a burst beyond the freeze; and few bursts were followed by enough calm to judge. Change: operators stay with the instance that acknowledged last; three of four bursts begin with a freeze, and 6 to 8 s without changes follow.

--- a/internal/soak/wasabisoak/operator.go
+++ b/internal/soak/wasabisoak/operator.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/wasabistand/wasabistand/internal/soak/wasabioracle"
@@ -41,6 +42,9 @@
 	run    *run
 	random *rand.Rand // for what is changed, in the order of the plan
 	count  int
+	// first is the number of the control instance that operators ask first. It is the
+	// one that acknowledged last, or else one that stands still would slow a burst.
+	first  atomic.Int64
 	probes sync.WaitGroup
 	faults sync.WaitGroup
 }
@@ -49,8 +53,8 @@
 	return &operators{run: r, random: rand.New(rand.NewPCG(r.settings.Seed, 4))}
 }
 
-// first sends the first version until it is acknowledged.
-func (o *operators) first(ctx context.Context) error {
+// begin sends the first version until it is acknowledged.
+func (o *operators) begin(ctx context.Context) error {
 	routes := map[string]string{}
 	for _, s := range services {
 		routes[safePrefix+s+"/"], routes[oncePrefix+s+"/"] = s, s
@@ -126,6 +130,7 @@
 }
 
 func (o *operators) playRound(ctx context.Context, round Round) {
+	o.first.Store(int64(o.random.IntN(len(o.run.controls))))
 	if round.Invalid {
 		base := o.newest()
 		v := o.next(base)
@@ -190,7 +195,7 @@
 	r.mu.Unlock()
 	began := r.now()
 	slow := false
-	for i := rand.IntN(len(r.controls)); ctx.Err() == nil && r.now()-began < maxOrderTime; i++ {
+	for i := int(o.first.Load()); ctx.Err() == nil && r.now()-began < maxOrderTime; i++ {
 		m := r.controls[i%len(r.controls)]
 		if lose {
 			// The change may have arrived, and may be taken at any later time.
@@ -206,6 +211,7 @@
 		}
 		switch outcome {
 		case wasabioracle.Accepted:
+			o.first.Store(int64(m.number))
 			o.confirm(ctx, v, m, received, aim)
 			return true
 		case wasabioracle.Conflict, wasabioracle.Refused:
--- a/internal/soak/wasabisoak/plan.go
+++ b/internal/soak/wasabisoak/plan.go
@@ -206,7 +206,7 @@
 		}
 		round := Round{At: at, Gap: between(r, 0, 120*time.Millisecond), Count: 1 + r.IntN(3),
 			Pair: r.IntN(4) == 0, Invalid: r.IntN(6) == 0, Lose: r.IntN(4) == 0, Resend: r.IntN(4) == 0}
-		if r.IntN(3) == 0 {
+		if r.IntN(2) == 0 {
 			round.Count = 5 + r.IntN(12)
 		}
 		aimed, hit, long := r.IntN(3) == 0, r.IntN(max(len(s.Faults), 1)), downTime(r)
@@ -221,11 +221,13 @@
 				}
 			}
 		}
-		if early := crowd; r.IntN(2) == 0 && round.Count > 4 && at < end && slices.Contains(s.Faults, FreezeControl) {
+		if early := crowd; r.IntN(4) > 0 && round.Count > 4 && at < end && slices.Contains(s.Faults, FreezeControl) {
 			if early < 0 {
 				early = r.IntN(s.Controls)
 			}
 			round.Early = Fault{Kind: FreezeControl, Target: early, For: between(r, 200*time.Millisecond, 1500*time.Millisecond)}
+			// A node that was left behind shows once it is in touch again.
+			at += between(r, 6*time.Second, 8*time.Second)
 		}
 		list = append(list, round)
 	}
--- a/internal/soak/wasabisoak/run.go
+++ b/internal/soak/wasabisoak/run.go
@@ -194,7 +194,7 @@
 		r.callers[m] = c
 	}
 	o := newOperators(r)
-	if err := o.first(ctx); err != nil {
+	if err := o.begin(ctx); err != nil {
 		return err
 	}
 	if err := r.awaitReady(ctx); err != nil {
