Soak: steady callers also ask for what the newest version added and dropped

Cause: a node that was left behind was asked four times after each change, the last time within 7.5 s. Change: one steady request in six is for the newest marker and one for the newest dropped route; frozen bursts are followed by 4.5 to 6 s without changes. Evidence: tests of the plan pass (arm64).

--- a/internal/soak/wasabisoak/operator.go
+++ b/internal/soak/wasabisoak/operator.go
@@ -132,7 +132,7 @@
 func (o *operators) playRound(ctx context.Context, round Round) {
 	o.first.Store(int64(o.random.IntN(len(o.run.controls))))
 	if round.Invalid {
-		base := o.newest()
+		base := o.run.newest()
 		v := o.next(base)
 		v.invalid = invalidities[o.random.IntN(len(invalidities))]
 		if v.invalid == OldVersion {
@@ -148,7 +148,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		base := o.newest()
+		base := o.run.newest()
 		list := []*version{o.next(base)}
 		if round.Pair {
 			list = append(list, o.next(base))
@@ -163,19 +163,13 @@
 			wait.Go(func() { o.send(ctx, v, base.number, round.Lose, aim) })
 		}
 		wait.Wait()
-		if last := o.newest(); round.Resend && i == round.Count-1 && last != base {
+		if last := o.run.newest(); round.Resend && i == round.Count-1 && last != base {
 			o.resend(ctx, last)
 		}
 		sleep(ctx, round.Gap)
 	}
 }
 
-func (o *operators) newest() *version {
-	o.run.mu.Lock()
-	defer o.run.mu.Unlock()
-	return o.run.confirmed
-}
-
 // Times of operators.
 const (
 	orderTimeout = time.Second
@@ -294,7 +288,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		newest := o.newest()
+		newest := r.newest()
 		prefixes := []string{v.marker, newest.marker}
 		switch kind := random.IntN(6); {
 		case kind == 0 && len(newest.dropped) > 0:
--- a/internal/soak/wasabisoak/plan.go
+++ b/internal/soak/wasabisoak/plan.go
@@ -227,7 +227,7 @@
 			}
 			round.Early = Fault{Kind: FreezeControl, Target: early, For: between(r, 200*time.Millisecond, 1500*time.Millisecond)}
 			// A node that was left behind shows once it is in touch again.
-			at += between(r, 6*time.Second, 8*time.Second)
+			at += between(r, 4500*time.Millisecond, 6*time.Second)
 		}
 		list = append(list, round)
 	}
--- a/internal/soak/wasabisoak/run.go
+++ b/internal/soak/wasabisoak/run.go
@@ -275,6 +275,13 @@
 	}
 }
 
+// newest returns the newest acknowledged version.
+func (r *run) newest() *version {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.confirmed
+}
+
 // readOften reads the configuration at one control instance after another.
 func (r *run) readOften(ctx context.Context) {
 	const pause = 100 * time.Millisecond
@@ -339,8 +346,8 @@
 	r.judge(func(o *wasabioracle.Oracle) []wasabioracle.Violation { return o.Answered(a) })
 }
 
-// callSteadily sends requests on the routes that all versions have, on a few
-// connections.
+// callSteadily sends requests on the routes that all versions have, and on what the
+// newest version added and dropped, on a few connections.
 func (r *run) callSteadily(ctx context.Context, m *machine) {
 	const connections = 2
 	var wait sync.WaitGroup
@@ -352,10 +359,17 @@
 				// The service of an unsafe route may be that of one that is down, so
 				// both kinds go to all services in turn.
 				s := services[random.IntN(len(services))]
-				if random.IntN(2) == 0 {
+				switch newest := r.newest(); random.IntN(6) {
+				case 0, 1:
 					r.call(ctx, m, safePrefix+s+"/", false)
-				} else {
+				case 2, 3:
 					r.call(ctx, m, oncePrefix+s+"/", true)
+				case 4:
+					r.call(ctx, m, newest.marker, false)
+				default:
+					if n := len(newest.dropped); n > 0 {
+						r.call(ctx, m, newest.dropped[n-1], false)
+					}
 				}
 				sleep(ctx, between(random, callPause/2, 3*callPause/2))
 			}
