Soak: hold changes back while a node is seen behind

Change: before each round operators ask every node for the newest marker, and wait while one has no route for it, until all bounds have passed. Pauses are short otherwise.

--- a/internal/soak/wasabisoak/operator.go
+++ b/internal/soak/wasabisoak/operator.go
@@ -125,6 +125,7 @@
 			return
 		}
 		sleep(ctx, begin+round.At-o.run.now())
+		o.hold(ctx)
 		o.playRound(ctx, round)
 	}
 }
@@ -170,6 +171,37 @@
 	}
 }
 
+// hold waits while a node doesn't have the newest version in force, until all bounds
+// have passed. Otherwise the next change would hide that one was lost.
+func (o *operators) hold(ctx context.Context) {
+	const pause, answerTime = 100 * time.Millisecond, 500 * time.Millisecond
+	r := o.run
+	b := r.settings.Bounds
+	newest := r.newest()
+	began := r.now()
+	for ctx.Err() == nil && r.now() < began+b.Apply+b.Stretch+b.Contact {
+		limit, cancel := context.WithTimeout(ctx, answerTime)
+		var behind atomic.Int64
+		var wait sync.WaitGroup
+		for _, m := range r.nodes {
+			wait.Go(func() {
+				if r.call(limit, m, newest.marker, false) == wasabioracle.NotFound {
+					behind.Add(1)
+				}
+			})
+		}
+		wait.Wait()
+		cancel()
+		if behind.Load() == 0 {
+			break
+		}
+		sleep(ctx, pause)
+	}
+	if held := r.now() - began; held > time.Second {
+		r.logf("changes were held back for %.3f s, since nodes were behind version %d", held.Seconds(), newest.number)
+	}
+}
+
 // Times of operators.
 const (
 	orderTimeout = time.Second
--- a/internal/soak/wasabisoak/plan.go
+++ b/internal/soak/wasabisoak/plan.go
@@ -194,9 +194,9 @@
 
 func drawRounds(r *rand.Rand, s Settings, crowd int, windows []window, end, last time.Duration) (list []Round) {
 	for at := 500 * time.Millisecond; ; {
-		// The next change hides one that got lost. Half of the rounds are followed by a
-		// time that is longer than the bound.
-		if r.IntN(2) == 0 {
+		// The next change hides one that got lost. Operators hold it back while a node is
+		// seen behind, and some rounds are followed by a time longer than the bound.
+		if r.IntN(6) == 0 {
 			at += between(r, 3*time.Second, 5*time.Second)
 		} else {
 			at += between(r, 50*time.Millisecond, time.Second)
@@ -226,8 +226,7 @@
 				early = r.IntN(s.Controls)
 			}
 			round.Early = Fault{Kind: FreezeControl, Target: early, For: between(r, 200*time.Millisecond, 1500*time.Millisecond)}
-			// A node that was left behind shows once it is in touch again.
-			at += between(r, 4500*time.Millisecond, 6*time.Second)
+			at += between(r, 0, time.Second) + round.Early.For
 		}
 		list = append(list, round)
 	}
--- a/internal/soak/wasabisoak/run.go
+++ b/internal/soak/wasabisoak/run.go
@@ -331,8 +331,8 @@
 	callPause   = 100 * time.Millisecond
 )
 
-// call sends one request to a node and has its answer judged.
-func (r *run) call(ctx context.Context, m *machine, prefix string, once bool) {
+// call sends one request to a node and has its answer judged, unless the context ends.
+func (r *run) call(ctx context.Context, m *machine, prefix string, once bool) wasabioracle.Outcome {
 	r.mu.Lock()
 	r.requests++
 	id := fmt.Sprintf("%s-%06x", m.Name, r.requests)
@@ -340,10 +340,11 @@
 	sent := r.now()
 	x := r.callers[m].Call(ctx, Request{ID: id, Path: prefix + "x", Once: once, Timeout: callTimeout})
 	if ctx.Err() != nil {
-		return
+		return wasabioracle.Unclear
 	}
 	a := wasabioracle.Answer{Node: m.Name, ID: id, Prefix: prefix, Sent: sent, Received: r.now(), Outcome: x.Outcome, Service: x.Service, EchoedID: x.EchoedID}
 	r.judge(func(o *wasabioracle.Oracle) []wasabioracle.Violation { return o.Answered(a) })
+	return a.Outcome
 }
 
 // callSteadily sends requests on the routes that all versions have, and on what the
