--- a/internal/soak/wasabisoak/operator.go
+++ b/internal/soak/wasabisoak/operator.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/wasabistand/wasabistand/internal/soak/wasabioracle"
@@ -41,18 +42,19 @@
 	run    *run
 	random *rand.Rand // for what is changed, in the order of the plan
 	count  int
-	// avoided is a control instance that operators don't use, nil for none.
-	avoided *machine
-	probes  sync.WaitGroup
-	faults  sync.WaitGroup
+	// first is the number of the control instance that operators ask first. It is the
+	// one that acknowledged last, or else one that stands still would slow a burst.
+	first  atomic.Int64
+	probes sync.WaitGroup
+	faults sync.WaitGroup
 }
 
 func newOperators(r *run) *operators {
 	return &operators{run: r, random: rand.New(rand.NewPCG(r.settings.Seed, 4))}
 }
 
-// first sends the first version until it is acknowledged.
-func (o *operators) first(ctx context.Context) error {
+// begin sends the first version until it is acknowledged.
+func (o *operators) begin(ctx context.Context) error {
 	routes := map[string]string{}
 	for _, s := range services {
 		routes[safePrefix+s+"/"], routes[oncePrefix+s+"/"] = s, s
@@ -118,17 +120,20 @@
 // play plays the rounds of the plan one after another.
 func (o *operators) play(ctx context.Context, begin time.Duration) {
 	for _, round := range o.run.plan.Rounds {
-		if ctx.Err() != nil {
+		// Changes that take long delay the rounds behind them.
+		if ctx.Err() != nil || o.run.now()-begin > o.run.plan.LastChange {
 			return
 		}
 		sleep(ctx, begin+round.At-o.run.now())
+		o.hold(ctx)
 		o.playRound(ctx, round)
 	}
 }
 
 func (o *operators) playRound(ctx context.Context, round Round) {
+	o.first.Store(int64(o.random.IntN(len(o.run.controls))))
 	if round.Invalid {
-		base := o.newest()
+		base := o.run.newest()
 		v := o.next(base)
 		v.invalid = invalidities[o.random.IntN(len(invalidities))]
 		if v.invalid == OldVersion {
@@ -137,16 +142,14 @@
 		v.change = o.change(v, base.number)
 		o.send(ctx, v, base.number, false, nil)
 	}
-	if round.Behind.Kind != "" {
-		o.avoided = o.run.controls[round.Behind.Target]
-		defer func() { o.avoided = nil }()
-		o.faults.Go(func() { o.run.inject(ctx, round.Behind) })
+	if round.Early.Kind != "" {
+		o.faults.Go(func() { o.run.inject(ctx, round.Early) })
 	}
 	for i := range round.Count {
 		if ctx.Err() != nil {
 			return
 		}
-		base := o.newest()
+		base := o.run.newest()
 		list := []*version{o.next(base)}
 		if round.Pair {
 			list = append(list, o.next(base))
@@ -161,17 +164,42 @@
 			wait.Go(func() { o.send(ctx, v, base.number, round.Lose, aim) })
 		}
 		wait.Wait()
-		if last := o.newest(); round.Resend && i == round.Count-1 && last != base {
+		if last := o.run.newest(); round.Resend && i == round.Count-1 && last != base {
 			o.resend(ctx, last)
 		}
 		sleep(ctx, round.Gap)
 	}
 }
 
-func (o *operators) newest() *version {
-	o.run.mu.Lock()
-	defer o.run.mu.Unlock()
-	return o.run.confirmed
+// hold waits while a node doesn't have the newest version in force, until all bounds
+// have passed. Otherwise the next change would hide that one was lost.
+func (o *operators) hold(ctx context.Context) {
+	const pause, answerTime = 100 * time.Millisecond, 500 * time.Millisecond
+	r := o.run
+	b := r.settings.Bounds
+	newest := r.newest()
+	began := r.now()
+	for ctx.Err() == nil && r.now() < began+b.Apply+b.Stretch+b.Contact {
+		limit, cancel := context.WithTimeout(ctx, answerTime)
+		var behind atomic.Int64
+		var wait sync.WaitGroup
+		for _, m := range r.nodes {
+			wait.Go(func() {
+				if r.call(limit, m, newest.marker, false) == wasabioracle.NotFound {
+					behind.Add(1)
+				}
+			})
+		}
+		wait.Wait()
+		cancel()
+		if behind.Load() == 0 {
+			break
+		}
+		sleep(ctx, pause)
+	}
+	if held := r.now() - began; held > time.Second {
+		r.logf("changes were held back for %.3f s, since nodes were behind version %d", held.Seconds(), newest.number)
+	}
 }
 
 // Times of operators.
@@ -193,11 +221,8 @@
 	r.mu.Unlock()
 	began := r.now()
 	slow := false
-	for i := rand.IntN(len(r.controls)); ctx.Err() == nil && r.now()-began < maxOrderTime; i++ {
+	for i := int(o.first.Load()); ctx.Err() == nil && r.now()-began < maxOrderTime; i++ {
 		m := r.controls[i%len(r.controls)]
-		if m == o.avoided {
-			continue
-		}
 		if lose {
 			// The change may have arrived, and may be taken at any later time.
 			lost, cancel := context.WithTimeout(ctx, rand.N(maxLossTime))
@@ -212,6 +237,7 @@
 		}
 		switch outcome {
 		case wasabioracle.Accepted:
+			o.first.Store(int64(m.number))
 			o.confirm(ctx, v, m, received, aim)
 			return true
 		case wasabioracle.Conflict, wasabioracle.Refused:
@@ -294,7 +320,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		newest := o.newest()
+		newest := r.newest()
 		prefixes := []string{v.marker, newest.marker}
 		switch kind := random.IntN(6); {
 		case kind == 0 && len(newest.dropped) > 0:
--- a/internal/soak/wasabisoak/plan_test.go
+++ b/internal/soak/wasabisoak/plan_test.go
@@ -10,7 +10,7 @@
 )
 
 func settings(seed uint64) wasabisoak.Settings {
-	return wasabisoak.Settings{Seed: seed, Duration: time.Minute, Nodes: 12, Controls: 5, Cores: 1, Faults: wasabisoak.Kinds()}
+	return wasabisoak.Settings{Seed: seed, Duration: time.Minute, Nodes: 12, Controls: 5, Cores: 1, Proxy: true, Faults: wasabisoak.Kinds()}
 }
 
 // A seed that failed is only of use if it gives the same plan again.
@@ -24,22 +24,22 @@
 // because it plays nothing.
 func TestPlanPlaysAllKinds(t *testing.T) {
 	faults := map[wasabisoak.Kind]int{}
-	var pairs, invalid, lost, resent, aimed, bursts int
+	var pairs, invalid, lost, resent, aimed, bursts, early, crowds int
 	for seed := range uint64(20) {
 		p := wasabisoak.NewPlan(settings(seed))
+		if p.Crowd >= 0 {
+			crowds++
+		}
 		for _, f := range p.Faults {
 			assert.Assert(t, f.At > 0 && f.At < time.Minute && f.For > 0, "%+v", f)
 			faults[f.Kind]++
 		}
 		for _, r := range p.Rounds {
 			assert.Assert(t, r.At < time.Minute && r.Count > 0, "%+v", r)
-			if r.Behind.Kind != "" {
-				faults[r.Behind.Kind]++
-			}
 			for _, c := range []struct {
 				set   bool
 				count *int
-			}{{r.Pair, &pairs}, {r.Invalid, &invalid}, {r.Lose, &lost}, {r.Resend, &resent}, {r.Aim.Kind != "", &aimed}, {r.Count > 4, &bursts}} {
+			}{{r.Pair, &pairs}, {r.Invalid, &invalid}, {r.Lose, &lost}, {r.Resend, &resent}, {r.Aim.Kind != "", &aimed}, {r.Count > 4, &bursts}, {r.Early.Kind != "", &early}} {
 				if c.set {
 					*c.count++
 				}
@@ -49,7 +49,7 @@
 	for _, k := range wasabisoak.Kinds() {
 		assert.Assert(t, faults[k] > 0, "%s", k)
 	}
-	for _, n := range []int{pairs, invalid, lost, resent, aimed, bursts} {
+	for _, n := range []int{pairs, invalid, lost, resent, aimed, bursts, early, crowds} {
 		assert.Assert(t, n > 0)
 	}
 	calm := settings(1)
@@ -58,7 +58,7 @@
 	assert.Equal(t, len(p.Faults), 0)
 	for _, r := range p.Rounds {
 		assert.Equal(t, r.Aim.Kind, wasabisoak.Kind(""))
-		assert.Equal(t, r.Behind.Kind, wasabisoak.Kind(""))
+		assert.Equal(t, r.Early.Kind, wasabisoak.Kind(""))
 	}
 }
 
--- a/internal/soak/wasabisoak/run.go
+++ b/internal/soak/wasabisoak/run.go
@@ -61,6 +61,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer r.closeProxies()
 	// The processes end before the function returns, also when it fails.
 	defer func() {
 		r.mu.Lock()
@@ -70,7 +71,10 @@
 		r.mu.Unlock()
 		_ = r.fleet.Close()
 	}()
-	if r.controls, r.nodes, err = newMachines(s, p); err != nil {
+	if r.controls, r.nodes, err = newMachines(s, r.plan.Crowd, p); err != nil {
+		return Report{}, err
+	}
+	if err := r.startProxies(); err != nil {
 		return Report{}, err
 	}
 	if err := r.play(ctx); err != nil {
@@ -190,7 +194,7 @@
 		r.callers[m] = c
 	}
 	o := newOperators(r)
-	if err := o.first(ctx); err != nil {
+	if err := o.begin(ctx); err != nil {
 		return err
 	}
 	if err := r.awaitReady(ctx); err != nil {
@@ -271,6 +275,13 @@
 	}
 }
 
+// newest returns the newest acknowledged version.
+func (r *run) newest() *version {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.confirmed
+}
+
 // readOften reads the configuration at one control instance after another.
 func (r *run) readOften(ctx context.Context) {
 	const pause = 100 * time.Millisecond
@@ -320,8 +331,8 @@
 	callPause   = 100 * time.Millisecond
 )
 
-// call sends one request to a node and has its answer judged.
-func (r *run) call(ctx context.Context, m *machine, prefix string, once bool) {
+// call sends one request to a node and has its answer judged, unless the context ends.
+func (r *run) call(ctx context.Context, m *machine, prefix string, once bool) wasabioracle.Outcome {
 	r.mu.Lock()
 	r.requests++
 	id := fmt.Sprintf("%s-%06x", m.Name, r.requests)
@@ -329,14 +340,15 @@
 	sent := r.now()
 	x := r.callers[m].Call(ctx, Request{ID: id, Path: prefix + "x", Once: once, Timeout: callTimeout})
 	if ctx.Err() != nil {
-		return
+		return wasabioracle.Unclear
 	}
 	a := wasabioracle.Answer{Node: m.Name, ID: id, Prefix: prefix, Sent: sent, Received: r.now(), Outcome: x.Outcome, Service: x.Service, EchoedID: x.EchoedID}
 	r.judge(func(o *wasabioracle.Oracle) []wasabioracle.Violation { return o.Answered(a) })
+	return a.Outcome
 }
 
-// callSteadily sends requests on the routes that all versions have, on a few
-// connections.
+// callSteadily sends requests on the routes that all versions have, and on what the
+// newest version added and dropped, on a few connections.
 func (r *run) callSteadily(ctx context.Context, m *machine) {
 	const connections = 2
 	var wait sync.WaitGroup
@@ -348,10 +360,17 @@
 				// The service of an unsafe route may be that of one that is down, so
 				// both kinds go to all services in turn.
 				s := services[random.IntN(len(services))]
-				if random.IntN(2) == 0 {
+				switch newest := r.newest(); random.IntN(6) {
+				case 0, 1:
 					r.call(ctx, m, safePrefix+s+"/", false)
-				} else {
+				case 2, 3:
 					r.call(ctx, m, oncePrefix+s+"/", true)
+				case 4:
+					r.call(ctx, m, newest.marker, false)
+				default:
+					if n := len(newest.dropped); n > 0 {
+						r.call(ctx, m, newest.dropped[n-1], false)
+					}
 				}
 				sleep(ctx, between(random, callPause/2, 3*callPause/2))
 			}
