wasabimesh: the stress counts a probe that still waits as starvation

A probe that a sync blocks was counted only once it had ended, so that the time in between passed as calm.

Change: a probe that is in progress for more than 200 ms counts as starvation while it lasts, by the rule that holds for one that has ended. The bounds of changes stay.

--- a/internal/process/wasabimesh/stress_probe_test.go
+++ b/internal/process/wasabimesh/stress_probe_test.go
@@ -30,6 +30,13 @@
 	s.faultAt = now
 }
 
+// isProbeLate reports whether the probe in progress takes too long. A sync may block for
+// seconds.
+func (s *stress) isProbeLate(now time.Time) bool {
+	start := s.probeStart.Load()
+	return start != nil && now.Sub(*start) > maxProbeTime
+}
+
 // probe measures how long a synced write and round trips over loopback take, until stop is
 // closed.
 func (s *stress) probe(stop <-chan struct{}) {
@@ -60,6 +67,7 @@
 	buffer := make([]byte, 1)
 	for {
 		start := time.Now()
+		s.probeStart.Store(&start)
 		_, err := f.WriteAt(buffer, 0)
 		err = errors.Join(err, f.Sync())
 		for range probeTrips {
@@ -71,6 +79,7 @@
 			s.t.Error(err)
 			return
 		}
+		s.probeStart.Store(nil)
 		if now := time.Now(); now.Sub(start) > maxProbeTime {
 			s.starve(now)
 		}
--- a/internal/process/wasabimesh/stress_test.go
+++ b/internal/process/wasabimesh/stress_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -86,6 +87,7 @@
 	// makes up for a push that is lost.
 	quietUntil time.Time
 	starved    int
+	probeStart atomic.Pointer[time.Time] // of the probe in progress, nil for none
 	ports      int
 	counts     map[string]int
 }
@@ -350,6 +352,9 @@
 			s.starve(now)
 		}
 		s.mu.Lock()
+		if s.isProbeLate(now) {
+			s.faultAt = now
+		}
 		calm := s.faults == 0 && now.Sub(s.faultAt) > contactWindow
 		s.mu.Unlock()
 		last = now
