wasabidisk: opening a store on a full disk makes room first

Since a store writes its last segment again when it is opened, a disk that the store's own segments fill could not be opened, and only an open store compacts.

--- a/wasabidisk/recover.go
+++ b/wasabidisk/recover.go
@@ -17,9 +17,10 @@
 			s.state.Torn = g.torn
 		}
 	}
-	if err := s.rewrite(s.active()); err != nil {
+	if err := s.rewriteActive(); err != nil {
 		return err
 	}
+	last = len(s.segments) - 1
 	if last == 0 || s.segments[last].hasData {
 		return nil
 	}
@@ -34,6 +35,29 @@
 	return s.sealPrevious()
 }
 
+// rewriteActive rewrites the active segment. On a full disk it first removes the
+// segments that the snapshot covers, since only an open store compacts its log.
+func (s *Store) rewriteActive() error {
+	err := s.rewrite(s.active())
+	if !ErrFull.Has(err) {
+		return err
+	}
+	keep := 1
+	if !s.active().hasData {
+		// The segment before it may lack its end mark.
+		keep = 2
+	}
+	// The snapshot's name must be durable before the log that it replaces is removed.
+	s.unsyncedDir = true
+	if err := s.repairFolder(); err != nil {
+		return err
+	}
+	if err := s.removeSegments(s.state.Snapshot.GetIndex(), keep); err != nil {
+		return err
+	}
+	return s.rewrite(s.active())
+}
+
 // rewrite replaces a segment's file by a new one with the same batches, or with a
 // new header if it has none, and opens it for appending.
 func (s *Store) rewrite(g *segment) error {
--- a/wasabidisk/refusal_test.go
+++ b/wasabidisk/refusal_test.go
@@ -193,3 +193,23 @@
 	assert.NilError(t, d.store.Compact(20))
 	assert.NilError(t, save(21))
 }
+
+// TestStoreOpensOnFullDisk guards against a store that can't be opened, and so not compacted, on a disk that its own log has filled.
+func TestStoreOpensOnFullDisk(t *testing.T) {
+	fs := wasabifault.New()
+	f, err := wasabidisk.Open(fs, "/data", "test")
+	assert.NilError(t, err)
+	s, err := f.Group("root", wasabidisk.Options{}.WithSegmentBytes(400))
+	assert.NilError(t, err)
+	for i := uint64(1); i <= 40; i++ {
+		assert.NilError(t, s.Save(&wasabistandv1.HardState{Term: 1}, []*wasabistandv1.LogEntry{{Index: i, Term: 1, Data: make([]byte, 50)}}))
+	}
+	assert.NilError(t, s.SaveSnapshot(&wasabistandv1.LogSnapshot{Index: 35, Term: 1}))
+	assert.NilError(t, f.Close())
+	fs.SetCapacity(fs.Used())
+	f, err = wasabidisk.Open(fs, "/data", "test")
+	assert.NilError(t, err)
+	s, err = f.Group("root", wasabidisk.Options{}.WithSegmentBytes(400))
+	assert.NilError(t, err)
+	assert.NilError(t, s.Compact(35))
+}
--- a/wasabidisk/store.go
+++ b/wasabidisk/store.go
@@ -332,6 +332,12 @@
 	if s.rolling {
 		keep = 2
 	}
+	return s.removeSegments(index, keep)
+}
+
+// removeSegments removes the oldest segments that only hold entries up to index, but
+// not the last ones, as many as keep says.
+func (s *Store) removeSegments(index uint64, keep int) error {
 	for len(s.segments) > keep && s.segments[0].maxIndex <= index {
 		if err := remove(s.fs, s.segmentPath(s.segments[0])); err != nil {
 			return err
