wasabicontrol: a supervisor without a function that empties the folder

Cause: the daemons of claims set none, so a removal would have ended the process with a nil call. They have no automatic membership, so it can't happen today. Change: the function may be nil. By reading, no run.

--- a/wasabicontrol/supervisor.go
+++ b/wasabicontrol/supervisor.go
@@ -24,7 +24,8 @@
 	// already, so that an empty data folder joins it. reopened is the number of
 	// instances that ran before in this process.
 	Open func(join bool, reopened uint64) (*Instance, error)
-	// Empty empties the data folder after the group has removed the disk.
+	// Empty empties the data folder after the group has removed the disk. It may be nil
+	// if the group removes none.
 	Empty func() error
 	Log   zerolog.Logger
 }
@@ -82,7 +83,7 @@
 	if err := i.Close(); err != nil {
 		s.config.Log.Warn().Err(err).Msg("closing the control instance failed")
 	}
-	for pause := minReopenPause; removed; pause = nextPause(pause) {
+	for pause := minReopenPause; removed && s.config.Empty != nil; pause = nextPause(pause) {
 		err := s.config.Empty()
 		if err == nil {
 			break
