wasabicontrol: a refused document doesn't delay resends of a later one

Callers would see: a node behind for up to a minute after two losses.

Cause: resends on a session are further apart while they don't help, as for a document that the node can't apply; that pause held for later documents too. Change: the first push of a later document ends it.

--- a/wasabicontrol/push.go
+++ b/wasabicontrol/push.go
@@ -48,6 +48,10 @@
 			continue
 		}
 		p.sent++
+		if c.documentRevision > s.documentRevision {
+			// A document that the node could not apply says nothing of a later one.
+			s.resend = resend{}
+		}
 		h.sendConfiguration(s, c, p.frame(h, s), now)
 	}
 	for g, p := range pushes {
--- a/wasabicontrol/renewal_test.go
+++ b/wasabicontrol/renewal_test.go
@@ -223,6 +223,18 @@
 	assert.Equal(t, len(u.GetDocument()), 0)
 }
 
+// Guards against a lost document that is not sent again for up to a minute, because the
+// node could not apply an earlier one.
+func TestLaterDocumentIsSentAgainAtOnce(t *testing.T) {
+	c := newCluster(t, 1, 0, nil)
+	n, first, second := c.staleNode(t)
+	r := &wasabistandv1.Renewal{Sequence: 1, RevisionInForce: first, Number: 1, DocumentRevision: first, LacksUpdate: true}
+	assert.Equal(t, n.renewUntilAck(r).GetRevision(), second)
+	third := c.mustApply("control-1", second, "third", "3s")
+	assert.Equal(t, n.configuration().GetRevision(), third)
+	assert.Equal(t, n.renewUntilAck(r).GetRevision(), third)
+}
+
 // Guards against a node that starts a session without the document of its revision and
 // is not sent it, also beside nodes of earlier versions.
 func TestSessionStartNamesDocument(t *testing.T) {
