Soak: find processes that race or panic, and mark expected ends by process

Cause: a process that races and is killed later has no exit code that tells of it; and an expected end that was noticed late could count as one of the new process. Change: a report lists lines of the Go runtime on races and failures in all logs. Ends are expected of a process, not of a machine.

--- a/internal/soak/wasabisoak/excerpt.go
+++ b/internal/soak/wasabisoak/excerpt.go
@@ -32,6 +32,29 @@
 	return lines
 }
 
+// marks are what the Go runtime writes when a process fails or races.
+var marks = []string{"WARNING: DATA RACE", "panic: ", "fatal error: "}
+
+// runtimeFailures returns the lines with marks in the logs of all machines. A process
+// that is killed has no exit code that tells of a race.
+func (r *run) runtimeFailures() (lines []string) {
+	for _, m := range r.all() {
+		b, err := os.ReadFile(r.fleet.LogPath(m.Name))
+		if err != nil {
+			// A machine that never started has no log.
+			continue
+		}
+		for l := range strings.Lines(string(b)) {
+			for _, mark := range marks {
+				if strings.HasPrefix(l, mark) {
+					lines = append(lines, m.Name+": "+strings.TrimSpace(l))
+				}
+			}
+		}
+	}
+	return lines
+}
+
 // excerpt returns the lines of a log that have the request's id, and the last lines
 // on sessions before the time.
 func excerpt(path string, before time.Time, request string) (lines []string) {
--- a/internal/soak/wasabisoak/machines.go
+++ b/internal/soak/wasabisoak/machines.go
@@ -21,7 +21,7 @@
 }
 
 // services are those of the upstream instances, in turn.
-var services = []string{"archive", "reports", "footage", "defects"}
+var services = []string{"orders", "stock", "mail", "search"}
 
 // stopTime is how long a process may take to end after SIGTERM.
 const stopTime = 6 * time.Second
@@ -194,7 +194,7 @@
 
 // restart ends the process of a machine and starts it again after a while.
 func (r *run) restart(ctx context.Context, m *machine, s syscall.Signal, pause time.Duration) {
-	r.expectEnd(m, true)
+	r.expectEnd(m)
 	r.record(m, false, true)
 	m.signal(s)
 	if !m.wait(ctx, stopTime) {
@@ -207,7 +207,6 @@
 		return
 	}
 	r.record(m, false, true)
-	r.expectEnd(m, false)
 	if err := r.start(m); err != nil {
 		r.fail(err)
 	}
--- a/internal/soak/wasabisoak/report.go
+++ b/internal/soak/wasabisoak/report.go
@@ -16,7 +16,8 @@
 	Plan       Plan
 	Violations []wasabioracle.Violation
 	Counts     wasabioracle.Counts
-	// OwnEnds describes the processes that ended without a signal of the run.
+	// OwnEnds describes the processes that ended without a signal of the run, and those
+	// in which the Go runtime reported a failure or a race.
 	OwnEnds []string
 	// Excerpts are lines of logs around some violations.
 	Excerpts []string
@@ -27,10 +28,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return Report{Settings: r.settings, Plan: r.plan, Violations: slices.Clone(r.violations), Counts: r.oracle.Counts(),
-		OwnEnds: slices.Clone(r.ownEnds), Excerpts: r.excerpts(r.violations), Took: r.now()}
+		OwnEnds: append(slices.Clone(r.ownEnds), r.runtimeFailures()...), Excerpts: r.excerpts(r.violations), Took: r.now()}
 }
 
-// Broken reports whether a promise was broken or a process ended by itself.
+// Broken reports whether a promise was broken or a process failed by itself.
 func (r Report) Broken() bool { return len(r.Violations) > 0 || len(r.OwnEnds) > 0 }
 
 // maxLines bounds the violations that the text of a report lists.
--- a/internal/soak/wasabisoak/run.go
+++ b/internal/soak/wasabisoak/run.go
@@ -36,7 +36,8 @@
 	mu         sync.Mutex
 	oracle     *wasabioracle.Oracle
 	violations []wasabioracle.Violation
-	expected   map[*machine]bool // machines whose process is to end
+	expected   map[*wasabifleet.Process]bool // processes that are to end
+	closing    bool                          // all processes are to end
 	ownEnds    []string
 	err        error
 	down       int // control instances that a fault holds down
@@ -50,7 +51,7 @@
 // broken; an error means that the run itself failed.
 func Run(ctx context.Context, s Settings, p Platform) (Report, error) {
 	r := &run{settings: s, platform: p, plan: NewPlan(s), fleet: wasabifleet.New(s.Folder), callers: map[*machine]Caller{},
-		oracle: wasabioracle.New(s.Bounds), expected: map[*machine]bool{}, started: time.Now()}
+		oracle: wasabioracle.New(s.Bounds), expected: map[*wasabifleet.Process]bool{}, started: time.Now()}
 	var err error
 	if r.log, err = os.Create(filepath.Join(s.Folder, "soak.log")); err != nil {
 		return Report{}, Error.Wrap(err)
@@ -65,9 +66,7 @@
 	// The processes end before the function returns, also when it fails.
 	defer func() {
 		r.mu.Lock()
-		for _, m := range r.all() {
-			r.expected[m] = true
-		}
+		r.closing = true
 		r.mu.Unlock()
 		_ = r.fleet.Close()
 	}()
@@ -114,17 +113,21 @@
 	}
 }
 
-func (r *run) expectEnd(m *machine, expected bool) {
+// expectEnd records that the process of a machine is to end.
+func (r *run) expectEnd(m *machine) {
+	m.mu.Lock()
+	p := m.process
+	m.mu.Unlock()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.expected[m] = expected
+	r.expected[p] = true
 }
 
 // ended records that a process has ended.
 func (r *run) ended(m *machine, p *wasabifleet.Process) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.expected[m] {
+	if r.closing || r.expected[p] {
 		return
 	}
 	line := fmt.Sprintf("%s ended by itself at %.3f s: %s", m.Name, r.now().Seconds(), p.Ended())
