Usual terms for clocks, and comments that an independent reading found wrong

The monotonic and the wall clock have these names now; the comment on empty appends says that a response may also wait for a sync; the age of a confirmation says what it means with home groups.

--- a/internal/process/wasabimesh/node.go
+++ b/internal/process/wasabimesh/node.go
@@ -113,7 +113,7 @@
 	n.pool = wasabilink.NewPool(links, nil)
 	n.session = wasabisession.New(sessionOptions(s.ControlAddresses), n.pool, n.gateway.InitialInstance().WithIncarnation(incarnation), recorder{n.log})
 	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "wasabi_session_unconfirmed_seconds", Help: "Time for which no control instance has confirmed the session.",
+		Name: "wasabi_session_unconfirmed_seconds", Help: "Time since the configuration was known to be the latest committed one.",
 	}, func() float64 { return n.session.Unconfirmed().Seconds() }))
 	n.gateway.Start()
 	h := n.handlers(n.gateway)
--- a/internal/soak/wasabisoak/operator.go
+++ b/internal/soak/wasabisoak/operator.go
@@ -43,7 +43,7 @@
 	random *rand.Rand // for what is changed, in the order of the plan
 	count  int
 	// first is the number of the control instance that operators ask first. It is the
-	// one that acknowledged last, or else one that stands still would slow a burst.
+	// one that acknowledged last, or else one that is stopped would slow a burst.
 	first  atomic.Int64
 	probes sync.WaitGroup
 	faults sync.WaitGroup
--- a/wasabicontrol/confirmer.go
+++ b/wasabicontrol/confirmer.go
@@ -89,7 +89,7 @@
 }
 
 // sinceConfirmed returns the time since the start of the latest round in which
-// the quorum confirmed the state, by the steady clock, so that a step of the time of day
+// the quorum confirmed the state, by the monotonic clock, so that a step of the wall clock
 // neither ends sessions nor keeps them open. It is the longest duration before the first
 // such round.
 func (c *confirmer) sinceConfirmed(now time.Time) time.Duration {
--- a/wasabievent/event_test.go
+++ b/wasabievent/event_test.go
@@ -86,13 +86,13 @@
 	assert.Equal(t, c.Now().Time().UnixNano(), now.UnixNano())
 }
 
-// Guards against an age that is too low because the time of day was set back, or because
-// the steady clock stood still.
+// Guards against an age that is too low because the wall clock was set back, or because
+// the monotonic clock stopped.
 func TestElapsedIsNeverTooLow(t *testing.T) {
 	since := time.Now()
 	later := since.Add(time.Minute)
 	assert.Equal(t, wasabievent.Elapsed(later, since), time.Minute)
-	// Times without a reading of the steady clock: the time of day was set back.
+	// Times without a reading of the monotonic clock: the wall clock was set back.
 	assert.Equal(t, wasabievent.Elapsed(since.Round(0), later.Round(0)), -time.Minute)
 	assert.Equal(t, wasabievent.Elapsed(later.Round(0), since), time.Minute)
 }
--- a/wasabiraft/replicate.go
+++ b/wasabiraft/replicate.go
@@ -249,8 +249,8 @@
 		r.confirmReads()
 		p.awaitingResponse = false
 		if p.snapshot == nil && !p.probing && p.match < r.log.lastIndex() && len(p.inflight) > 0 {
-			// A message may have been lost. The response to this empty append
-			// shows whether it was.
+			// A message may have been lost, or its response waits for the sync of its
+			// entries. The response to this empty append shows which.
 			r.sendAppend(m.GetFrom(), p, true)
 		}
 		return
--- a/wasabisession/renewal.go
+++ b/wasabisession/renewal.go
@@ -36,7 +36,7 @@
 // confirm records what an acknowledgement confirms: that the applied configuration was the
 // latest one when control last confirmed its state before the renewal was sent. The time
 // is the node's own and that of the renewal, since the acknowledgement may have waited on
-// the way, or for a process that stood still.
+// the way, or for a process that was stopped.
 func (c *sessionStream) confirm(a *wasabistandv1.RenewalAck) {
 	s := c.session
 	switch n := a.GetNumber(); {
--- a/wasabisession/session.go
+++ b/wasabisession/session.go
@@ -161,8 +161,9 @@
 }
 
 // Unconfirmed returns how long ago the applied configuration was certainly the latest
-// committed one: all changes that were committed earlier are applied. Before the first
-// confirmation it returns the time since the start.
+// committed one: all changes that were committed earlier are applied. In a region with a
+// home group these are the changes that were copied there. Before the first confirmation it
+// returns the time since the start.
 func (s *Session) Unconfirmed() time.Duration {
 	at := s.lastConfirmed.Load()
 	if at == nil {
