--- a/wasabievent/clock.go
+++ b/wasabievent/clock.go
@@ -17,7 +17,7 @@
 
 // Elapsed returns the time from since to now, both read from the clock of this machine,
 // by its monotonic clock or by the wall clock, whichever says more: the monotonic clock stops
-// still while the machine is suspended, and the wall clock can be set back. So an age is
+// while the machine is suspended, and the wall clock can be set back. So an age is
 // never taken for less than it is because of one of them.
 func Elapsed(now, since time.Time) time.Duration {
 	return max(now.Sub(since), now.Round(0).Sub(since.Round(0)))
