wasabicontrol: a node that says what it lacks is not kept waiting by the queue's counter

Cause: a resend waits while frames are queued for the node. The bytes of a frame are subtracted only after its send has returned, by when the node may have read it and renewed. Change: the queue is asked only for nodes that report an earlier revision and don't say that they lack an update. One that says so has read what was sent before the acknowledgement.

--- a/wasabicontrol/resend.go
+++ b/wasabicontrol/resend.go
@@ -39,11 +39,12 @@
 			s.resend = resend{}
 			return
 		}
-		if now.Sub(s.lag.since) < resendAfter {
+		// A node that only reports less may get what is still queued for it.
+		if now.Sub(s.lag.since) < resendAfter || !s.out.isEmpty() {
 			return
 		}
 	}
-	if now.Before(s.resend.notBefore) || !s.out.isEmpty() {
+	if now.Before(s.resend.notBefore) {
 		return
 	}
 	sent := s.revision
