--- a/review/standin2/case_ill.go
+++ b/review/standin2/case_ill.go
@@ -7,7 +7,10 @@
 	"time"
 )
 
-func init() { cases["ill-at-restart"] = illAtRestart }
+func init() {
+	cases["ill-at-restart"] = illAtRestart
+	cases["health-path"] = healthPath
+}
 
 // Health of a worker: it considers itself failing while it can't reach the system, which
 // it needs for its own calls. It checks that every healthInterval, and is well again
@@ -55,6 +58,34 @@
 	for _, w := range f.workers {
 		w.wait.Go(func() { w.watchHealth(w.stop) })
 	}
+	return f.judgeRecovery(l)
+}
+
+// healthPath: the workers answer health checks at a path of their own, which the manifest
+// names. They start once the first manifest is in force. Then all processes of the system
+// are killed and are back within a second.
+func healthPath(l *lab) error {
+	f, names, err := l.startMachines([]string{"reports", "reports", "archive", "archive"})
+	if err != nil {
+		return err
+	}
+	routes := []route{{"/approve/", "unsafe", "reports", 5}, {"/lookup/", "safe", "archive", 5}}
+	if err := f.begin(l, manifestWithHealth(1, names, routes, "/status")); err != nil {
+		return err
+	}
+	for _, w := range f.workers {
+		w.healthPath = "/status"
+	}
+	if err := f.startWorkers(l); err != nil {
+		return err
+	}
+	time.Sleep(3 * time.Second)
+	return f.judgeRecovery(l)
+}
+
+// judgeRecovery kills all processes of the project, starts them again, and compares what
+// is served from recovery_s on with what was served before.
+func (f *fleet) judgeRecovery(l *lab) error {
 	before := f.share(l, 5*time.Second)
 	if l.trouble {
 		for _, m := range l.machines {
--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -108,6 +108,11 @@
 
 // manifest returns the text of a manifest.
 func manifest(version uint64, services []string, routes []route) []byte {
+	return manifestWithHealth(version, services, routes, "/health")
+}
+
+// manifestWithHealth returns the text of a manifest whose services have a health path.
+func manifestWithHealth(version uint64, services []string, routes []route, path string) []byte {
 	type action struct {
 		Service     string  `json:"service"`
 		TimeoutS    float64 `json:"timeout_s"`
@@ -130,7 +135,7 @@
 	}
 	var clusters []any
 	for _, s := range services {
-		clusters = append(clusters, map[string]any{"name": s, "health_check_path": "/health", "max_connections": 484, "protocol": "h1", "tls": false})
+		clusters = append(clusters, map[string]any{"name": s, "health_check_path": path, "max_connections": 484, "protocol": "h1", "tls": false})
 	}
 	b, _ := json.Marshal(map[string]any{
 		"version":   version,
@@ -181,6 +186,18 @@
 // startFleet starts five control instances and one node with its worker for each entry
 // of services, applies the routes and waits until all nodes are ready.
 func (l *lab) startFleet(services []string, routes []route) (*fleet, error) {
+	f, names, err := l.startMachines(services)
+	if err != nil {
+		return nil, err
+	}
+	if err := f.startWorkers(l); err != nil {
+		return nil, err
+	}
+	return f, f.begin(l, manifest(1, names, routes))
+}
+
+// startMachines starts the project's processes. It returns the names of the services.
+func (l *lab) startMachines(services []string) (*fleet, []string, error) {
 	f := &fleet{runs: &runs{}}
 	for range 5 {
 		f.controls = append(f.controls, l.addMachine("control", ""))
@@ -191,10 +208,10 @@
 	for _, m := range l.machines {
 		m.seeds = f.controls[:3]
 		if err := m.write(true); err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 		if err := m.start(); err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 	}
 	seen := map[string]bool{}
@@ -203,25 +220,36 @@
 		if !seen[m.service] {
 			seen[m.service], names = true, append(names, m.service)
 		}
-		w := newWorker(m, fmt.Sprintf("i-7f3a91%02x", i+1), f.runs)
+		f.workers = append(f.workers, newWorker(m, fmt.Sprintf("i-7f3a91%02x", i+1), f.runs))
+	}
+	return f, names, nil
+}
+
+// startWorkers starts the workers.
+func (f *fleet) startWorkers(l *lab) error {
+	for _, w := range f.workers {
 		if err := w.start(time.Now()); err != nil {
-			return nil, err
+			return err
 		}
 		l.onClose(w.crash)
-		f.workers = append(f.workers, w)
 	}
-	if s := l.order(f.controls, 0, manifest(1, names, routes), 20*time.Second); s != 200 {
-		return nil, fmt.Errorf("the first manifest is not acknowledged: %d", s)
+	return nil
+}
+
+// begin sends the first manifest and waits until all nodes are ready.
+func (f *fleet) begin(l *lab, text []byte) error {
+	if s := l.order(f.controls, 0, text, 20*time.Second); s != 200 {
+		return fmt.Errorf("the first manifest is not acknowledged: %d", s)
 	}
 	end := time.Now().Add(15 * time.Second)
 	for _, m := range f.nodes {
 		for !m.ready() {
 			if time.Now().After(end) {
-				return nil, fmt.Errorf("%s is not ready", m.name)
+				return fmt.Errorf("%s is not ready", m.name)
 			}
 			time.Sleep(100 * time.Millisecond)
 		}
 	}
 	time.Sleep(4 * time.Second)
-	return f, nil
+	return nil
 }
--- a/review/standin2/lab.go
+++ b/review/standin2/lab.go
@@ -21,6 +21,7 @@
 	catchUpTime       = 4 * time.Second
 	recoveryTime      = 15 * time.Second
 	heartbeatInterval = 1500 * time.Millisecond
+	retryInterval     = 300 * time.Millisecond
 )
 
 // Offsets of the ports of each machine.
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -57,6 +57,8 @@
 	id      string
 	runs    *runs
 	work    time.Duration
+	// healthPath is the path at which the worker answers health checks.
+	healthPath string
 	// answer replaces the usual answer to a request that ran, nil for the usual one.
 	answer func(w *worker, r *request)
 	// early is called with the head of a request, before its body is read. It returns
@@ -75,7 +77,7 @@
 }
 
 func newWorker(m *machine, id string, r *runs) *worker {
-	return &worker{machine: m, id: id, runs: r, work: 30 * time.Millisecond}
+	return &worker{machine: m, id: id, runs: r, work: 30 * time.Millisecond, healthPath: "/health"}
 }
 
 // start begins a lifetime that was born at the given time of day.
@@ -148,7 +150,7 @@
 
 // handle answers one request. It returns false if the connection must be closed.
 func (w *worker) handle(r *request) bool {
-	if r.URL.Path == "/health" {
+	if r.URL.Path == w.healthPath {
 		status := 200
 		w.mu.Lock()
 		if w.ill || w.state == "draining" {
@@ -157,6 +159,10 @@
 		w.mu.Unlock()
 		return write(r.conn, status, map[string]string{"Instance-Id": w.id}, nil)
 	}
+	if r.id == "" {
+		w.machine.lab.logf("worker %s refuses %s %s without an id", w.id, r.Method, r.RequestURI)
+		return write(r.conn, 400, map[string]string{"Not-Executed": "1"}, nil)
+	}
 	if e := r.Header.Get("Expected-Instance"); e != "" && e != w.id {
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return false
@@ -210,14 +216,18 @@
 	return err == nil
 }
 
-// reportOften sends check-ins until the lifetime ends.
+// reportOften sends check-ins until the lifetime ends. One that isn't acknowledged is
+// followed by the next one soon.
 func (w *worker) reportOften(stop chan struct{}) {
 	for {
-		_, _ = w.report()
+		next := heartbeatInterval
+		if status, err := w.report(); err != nil || status/100 != 2 {
+			next = retryInterval
+		}
 		select {
 		case <-stop:
 			return
-		case <-time.After(heartbeatInterval):
+		case <-time.After(next):
 		}
 	}
 }
