wasabigateway: a failing health check holds only for its moment

Cause: a node that starts asks its upstream once whether it accepts calls. A 503 was recorded as a drain, which is final, so that all later heartbeats of the upstream were stale.

Change: only a response of 200 is recorded. Any other leaves the upstream unconfirmed, without work, and it is asked again after 0.3 to 1 s. Only a heartbeat or a deregistration ends an incarnation, so that a drain stays final. A metric shows how long an upstream has been unconfirmed, a log line the last response.

--- a/internal/policy/wasabiinstance/instance.go
+++ b/internal/policy/wasabiinstance/instance.go
@@ -51,6 +51,8 @@
 	Deregistered bool
 	// Lifetime is the number of the incarnation, counted from the node's start.
 	Lifetime int
+	// KnownSince is when the incarnation's first report was received.
+	KnownSince time.Time
 	// ReportedAt is when the latest report was received.
 	ReportedAt time.Time
 	// LeavingSince is when the drain was first reported.
@@ -61,6 +63,9 @@
 // AcceptsCalls reports whether the instance may get new calls.
 func (s State) AcceptsCalls() bool { return s.Known && s.Confirmed && !s.Leaving }
 
+// NeedsConfirmation reports whether the instance has yet to be asked with success.
+func (s State) NeedsConfirmation() bool { return s.Known && !s.Confirmed && !s.Leaving }
+
 // IsCold reports whether the instance is still in its cold start.
 func (s State) IsCold(now time.Time) bool { return now.Before(s.coldUntil) }
 
@@ -159,7 +164,7 @@
 
 // startIncarnation replaces the state by that of a new incarnation.
 func (t *Tracker) startIncarnation(now time.Time, r Report) {
-	t.state = State{Report: r, Known: true, Lifetime: t.state.Lifetime + 1, ReportedAt: now, coldUntil: now.Add(r.ColdRemaining)}
+	t.state = State{Report: r, Known: true, Lifetime: t.state.Lifetime + 1, KnownSince: now, ReportedAt: now, coldUntil: now.Add(r.ColdRemaining)}
 	if r.Leaving {
 		t.state.LeavingSince = now
 	}
@@ -182,17 +187,13 @@
 	return true
 }
 
-// Confirm records the response of an instance that was asked for its state: that it
-// accepts calls, or that it is leaving. A response of another lifetime is ignored.
-func (t *Tracker) Confirm(now time.Time, lifetime int, acceptsCalls bool) {
-	if t.state.Lifetime != lifetime {
-		return
-	}
-	if acceptsCalls {
+// Confirm records that the instance was asked and accepts calls. A response of another
+// lifetime is ignored. A response that it accepts none is not recorded: it holds only for
+// the moment, while the drain that a report announces is final.
+func (t *Tracker) Confirm(lifetime int) {
+	if t.state.Lifetime == lifetime {
 		t.state.Confirmed = true
-		return
 	}
-	t.recordDrain(now)
 }
 
 // String returns the instance's ID and lifetime.
--- a/internal/traffic/wasabigateway/local.go
+++ b/internal/traffic/wasabigateway/local.go
@@ -16,10 +16,14 @@
 )
 
 const (
-	// probeTimeout bounds one health check, probeRetryDelay is the pause after one
-	// without a result.
-	probeTimeout    = 500 * time.Millisecond
-	probeRetryDelay = 300 * time.Millisecond
+	// probeTimeout bounds one health check. The pause after one that fails doubles from
+	// minProbePause to maxProbePause.
+	probeTimeout  = 500 * time.Millisecond
+	minProbePause = 300 * time.Millisecond
+	maxProbePause = time.Second
+	// probeLogInterval is how often a health check that fails in the same way as the one
+	// before is logged.
+	probeLogInterval = 10 * time.Second
 	// upstreamIdleTimeout is used when the upstream sends no keep-alive timeout.
 	upstreamIdleTimeout = 5 * time.Second
 	// upstreamDialTimeout bounds the opening of a connection on the same machine.
@@ -133,7 +137,7 @@
 	if s.Leaving && !before.Leaving || s.Leaving && s.Lifetime != before.Lifetime {
 		o.scheduleRevocation(s)
 	}
-	if s.Known && !s.Confirmed && !s.Leaving && o.probing != s.Lifetime {
+	if s.NeedsConfirmation() && o.probing != s.Lifetime {
 		o.probing = s.Lifetime
 		l, path := o.lease, o.healthPath
 		o.gateway.background(func() { o.probe(l, path) })
@@ -184,22 +188,23 @@
 	})
 }
 
-// probe repeats the health check of a new incarnation until it has a result.
+// probe repeats the health check of a new incarnation until the instance accepts calls
+// or leaves. A check that fails holds only for its moment: the instance may accept calls
+// at the next one.
 func (o *localInstance) probe(l *lease, path string) {
-	for o.gateway.ctx.Err() == nil && !l.isRevoked() {
-		acceptsCalls, err := o.checkHealth(l, path)
+	var logged string
+	var loggedAt time.Time
+	for pause := minProbePause; o.needsProbe(l); pause = min(2*pause, maxProbePause) {
+		err := o.checkHealth(l, path)
 		if err == nil {
-			o.mu.Lock()
-			now := o.gateway.now()
-			before := o.tracker.State()
-			o.tracker.Confirm(now, l.lifetime, acceptsCalls)
-			o.log.Info().Str("Instance", l.id).Bool("TakesWork", acceptsCalls).Msg("instance asked")
-			o.handleChange(now, before)
-			o.mu.Unlock()
+			o.confirm(l)
 			return
 		}
-		o.log.Info().Str("Instance", l.id).Err(err).Msg("health check without a result")
-		t := time.NewTimer(probeRetryDelay)
+		if now := o.gateway.now(); err.Error() != logged || now.Sub(loggedAt) >= probeLogInterval {
+			logged, loggedAt = err.Error(), now
+			o.log.Info().Str("Instance", l.id).Str("Path", path).Dur("Unconfirmed", o.unconfirmedFor()).Err(err).Msg("instance does not confirm that it accepts calls")
+		}
+		t := time.NewTimer(pause)
 		select {
 		case <-t.C:
 		case <-o.gateway.ctx.Done():
@@ -208,29 +213,53 @@
 	}
 }
 
-// checkHealth makes one health check. An error means that it has no result.
-func (o *localInstance) checkHealth(l *lease, path string) (acceptsCalls bool, err error) {
+// needsProbe reports whether the incarnation of a lease has yet to be asked with success.
+func (o *localInstance) needsProbe(l *lease) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.gateway.ctx.Err() == nil && o.lease == l && o.tracker.State().NeedsConfirmation()
+}
+
+// confirm records that the incarnation of a lease accepts calls.
+func (o *localInstance) confirm(l *lease) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	before := o.tracker.State()
+	o.tracker.Confirm(l.lifetime)
+	o.log.Info().Str("Instance", l.id).Msg("instance confirmed that it accepts calls")
+	o.handleChange(o.gateway.now(), before)
+}
+
+// unconfirmedFor returns for how long the instance has been known without accepting
+// calls, 0 if it accepts them or leaves.
+func (o *localInstance) unconfirmedFor() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s := o.tracker.State()
+	if !s.NeedsConfirmation() {
+		return 0
+	}
+	return o.gateway.now().Sub(s.KnownSince)
+}
+
+// checkHealth makes one health check. Without an error the instance accepts calls.
+func (o *localInstance) checkHealth(l *lease, path string) error {
 	ctx, cancel := context.WithTimeout(o.gateway.ctx, probeTimeout)
 	defer cancel()
-	names := o.gateway.settings.headers
 	r := &http.Request{Method: http.MethodGet, URL: &url.URL{Path: path}, Host: o.gateway.settings.upstream, Header: http.Header{"User-Agent": {""}}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
 	call, err := l.upstream.Do(ctx, r.WithContext(ctx))
 	if err != nil {
-		return false, err
+		return err
 	}
 	defer call.Close()
 	_, _ = io.Copy(io.Discard, io.LimitReader(call, maxResponseHeaderBytes))
-	h := call.Response.Header
-	if id := h.Get(names.Instance); id != "" && id != l.id {
-		return false, Error.New("another instance responded at the address: %q", id)
+	if id := call.Response.Header.Get(o.gateway.settings.headers.Instance); id != "" && id != l.id {
+		return Error.New("another instance responded at the address: %q", id)
 	}
-	switch {
-	case call.Response.StatusCode == http.StatusOK:
-		return true, nil
-	case call.Response.StatusCode == http.StatusServiceUnavailable && h.Get(names.NotRun) == "":
-		return false, nil
+	if call.Response.StatusCode != http.StatusOK {
+		return Error.New("health check returned status %d", call.Response.StatusCode)
 	}
-	return false, Error.New("health check returned status %d", call.Response.StatusCode)
+	return nil
 }
 
 // markUnreachable records that no connection could be opened.
--- a/internal/traffic/wasabigateway/metrics.go
+++ b/internal/traffic/wasabigateway/metrics.go
@@ -60,6 +60,9 @@
 		gauge("wasabi_upstream_running", "Calls that run in the local upstream.", func() float64 { return float64(g.queue.load().Running) }),
 		gauge("wasabi_upstream_waiting", "Calls that wait for the local upstream.", func() float64 { return float64(g.queue.load().Waiting) }),
 		gauge("wasabi_upstream_limit", "Calls that may run in the local upstream concurrently.", func() float64 { return float64(g.queue.load().Limit) }),
+		gauge("wasabi_upstream_unconfirmed_seconds", "How long the local upstream has been known without confirming that it accepts calls, 0 if it accepts them or leaves.", func() float64 {
+			return g.local.unconfirmedFor().Seconds()
+		}),
 		gauge("wasabi_configuration_revision", "Revision of the applied configuration, 0 for none.", func() float64 {
 			if c := g.config.Load(); c != nil {
 				return float64(c.revision)
