wasabicontrol: members that go are removed before others take the majority with them

Cause: a member that is gone kept its vote for 3 s of silence, counted anew from each election, and one that got SIGTERM was treated in the same way. Learners were ready, but had no vote, and no majority was left that could give them one.

Change: up to two members more than the target vote. A stopping instance asks the leader to be removed while it still runs (JoinRequest.leaving). A voter is removed 0.5 s after its last response if its machine refuses connections, 1 s after it if it can't be reached, and only while the group has more voters than its target. A new leader counts the silence of the one before from before its election.

--- a/internal/policy/wasabiform/form.go
+++ b/internal/policy/wasabiform/form.go
@@ -1,7 +1,7 @@
 // Package wasabiform decides on the membership of a control group: whether a
-// member may be added, and which member is removed so that another can replace it.
-// It does not decide which members vote, nor does it change the member list; the
-// replicated log does.
+// member may be added, and which member is removed because another has taken its place.
+// It does not change the member list; the replicated log does, which also makes voters
+// of members that have caught up.
 package wasabiform
 
 import (
@@ -18,17 +18,27 @@
 	CaughtUp bool
 	// LastContact is the time of the member's last response.
 	LastContact time.Time
+	// Led is set for the member that led before. Its LastContact was observed before
+	// this instance became leader.
+	Led bool
+	// Leaving is set when the member asked to be replaced, since its process stops.
+	Leaving bool
 	// Reachable is set when the member's process responds, even if its log does
 	// not because its disk stalls.
 	Reachable bool
+	// Refused is set when the member's machine refuses connections: its process has
+	// ended.
+	Refused bool
 }
 
 // Options holds the settings of a Planner. It is an immutable value.
 type Options struct {
 	targetVoters       int
 	maxMembers         int
-	removeAfter        time.Duration
+	removeRefusedAfter time.Duration
+	removeSilentAfter  time.Duration
 	removeStalledAfter time.Duration
+	removeLearnerAfter time.Duration
 }
 
 // NewOptions returns the settings of a group that tolerates the simultaneous loss
@@ -38,25 +48,30 @@
 		targetVoters: 2*max(losses, 0) + 1,
 		// The replicated log supports no more members.
 		maxMembers: 9,
-		// Longer than an election with its quorum check, so that no member is
-		// removed for not responding during a change of leader.
-		removeAfter: 3 * time.Second,
+		// Several heartbeats. The process has ended, but may be started again.
+		removeRefusedAfter: 500 * time.Millisecond,
+		// An election timeout. A member that was only cut off or suspended returns
+		// with an empty disk.
+		removeSilentAfter: time.Second,
 		// A slow disk recovers with its data, so its member is replaced only
 		// after several times as long.
 		removeStalledAfter: 12 * time.Second,
+		// Longer than an election with its quorum check.
+		removeLearnerAfter: 3 * time.Second,
 	}
 }
 
-// WithRemoveAfter returns a copy that lets a member be silent for d before another
-// may replace it.
-func (o Options) WithRemoveAfter(d time.Duration) Options {
-	o.removeAfter = d
-	return o
-}
-
 // Voters returns the target number of voting members.
 func (o Options) Voters() int { return o.targetVoters }
 
+// spareVoters is the number of voters beyond the target. Members that are added before
+// others go vote at once, so that the loss of several at the same time leaves a
+// majority.
+const spareVoters = 2
+
+// MaxVoters returns the number of members that may vote. Further ones are learners.
+func (o Options) MaxVoters() int { return o.targetVoters + spareVoters }
+
 // Durable reports whether, with the given number of voters, data held by a majority
 // survives the losses that the group tolerates.
 func (o Options) Durable(voters int) bool { return voters/2+1 > o.targetVoters/2 }
@@ -82,56 +97,120 @@
 	}
 }
 
-// isSilent reports whether a member has not responded for long enough to be
-// removed. The time counts from when this instance became leader, so that a new
-// leader first waits for all members.
-func (p *Planner) isSilent(now time.Time, m Member, self string) bool {
+// silence returns how long a member has not responded. The time counts from when this
+// instance became leader, so that a new leader first waits for all members. Only the
+// silence of the previous leader, which led to the election, counts from before, unless
+// its process responds again.
+func (p *Planner) silence(now time.Time, m Member, self string) time.Duration {
 	since := m.LastContact
-	if since.Before(p.leadingSince) {
+	if (!m.Led || m.Reachable) && since.Before(p.leadingSince) {
 		since = p.leadingSince
 	}
-	after := p.options.removeAfter
-	if m.Reachable {
-		after = max(after, p.options.removeStalledAfter)
+	if m.ID == self {
+		return 0
+	}
+	return now.Sub(since)
+}
+
+// isSilent reports whether a member has not responded for long enough to be removed.
+func (p *Planner) isSilent(now time.Time, m Member, self string) bool {
+	after := p.options.removeSilentAfter
+	switch {
+	case m.Reachable:
+		after = p.options.removeStalledAfter
+	case m.Refused:
+		after = p.options.removeRefusedAfter
 	}
-	return m.ID != self && now.Sub(since) >= after
+	return p.silence(now, m, self) >= after
 }
 
-// NeedsProbe reports whether Remove depends on whether the member is reachable:
-// whether it is silent and this instance is the leader.
+// NeedsProbe reports whether Remove depends on whether the member is reachable: whether
+// it is silent and this instance is the leader.
 func (p *Planner) NeedsProbe(now time.Time, self string, m Member) bool {
-	return !p.leadingSince.IsZero() && p.isSilent(now, m, self)
+	return !p.leadingSince.IsZero() && p.silence(now, m, self) >= p.options.removeRefusedAfter
 }
 
 // HasRoom reports whether a group of these members has room for one more.
 func (p *Planner) HasRoom(list []Member) bool { return len(list) < p.options.maxMembers }
 
-// Remove returns the ID of the member to remove, empty for none. A silent voter is
-// removed when the group has its target number of voters, most of them respond and
-// a learner is ready to replace it; a silent learner when the group is full. Members
-// are removed one at a time: unreachable ones first, then the one that has been
-// silent for longest.
+// CanLeave reports whether the group can do without one of its voters: it has more than
+// its target, or a learner may become one.
+func (p *Planner) CanLeave(now time.Time, self string, list []Member) bool {
+	voters, learners := 0, 0
+	for _, m := range list {
+		switch {
+		case m.Voter:
+			voters++
+		case !m.Leaving && p.silence(now, m, self) < p.options.removeRefusedAfter:
+			learners++
+		}
+	}
+	return voters > p.options.targetVoters || learners > 0
+}
+
+// Remove returns the ID of the member to remove, empty for none. A voter that is silent
+// or leaves is removed when the group has more voters than its target, so that another
+// has already taken its place, and most voters respond. A silent learner is removed when
+// the group is full. Members are removed one at a time.
 func (p *Planner) Remove(now time.Time, self string, list []Member) string {
 	if p.leadingSince.IsZero() {
 		return ""
 	}
-	voters, responding, ready := 0, 0, false
+	voters, responding := 0, 0
 	for _, m := range list {
-		switch {
-		case m.Voter:
+		if m.Voter {
 			voters++
 			if !p.isSilent(now, m, self) {
 				responding++
 			}
-		case m.StorageKnown && m.CaughtUp && !p.isSilent(now, m, self):
-			ready = true
 		}
 	}
-	replace := ready && voters >= p.options.targetVoters && responding > voters/2
+	if found := p.findReplaceable(now, self, list); found != nil && voters > p.options.targetVoters && responding > voters/2 {
+		return found.ID
+	}
+	return p.findSilentLearner(now, self, list)
+}
+
+// findReplaceable returns the voter to remove, nil for none: one that is silent before
+// one that leaves, which still responds, and that before one whose disk stalls; among
+// silent ones the one that has been silent for longest.
+func (p *Planner) findReplaceable(now time.Time, self string, list []Member) *Member {
+	rank := func(m *Member) int {
+		switch {
+		case m.Leaving && !p.isSilent(now, *m, self):
+			return 1
+		case m.Reachable:
+			return 2
+		}
+		return 0
+	}
 	var found *Member
 	for i := range list {
 		m := &list[i]
-		if !p.isSilent(now, *m, self) || m.Voter && !replace || !m.Voter && len(list) < p.options.maxMembers {
+		if !m.Voter || m.ID == self || !m.Leaving && !p.isSilent(now, *m, self) {
+			continue
+		}
+		if found == nil || rank(m) < rank(found) || rank(m) == rank(found) && m.LastContact.Before(found.LastContact) {
+			found = m
+		}
+	}
+	return found
+}
+
+// findSilentLearner returns the ID of the learner to remove from a full group, empty for
+// none: the one that has been silent for longest.
+func (p *Planner) findSilentLearner(now time.Time, self string, list []Member) string {
+	if p.HasRoom(list) {
+		return ""
+	}
+	var found *Member
+	for i := range list {
+		m := &list[i]
+		after := p.options.removeLearnerAfter
+		if m.Reachable {
+			after = p.options.removeStalledAfter
+		}
+		if m.Voter || p.silence(now, *m, self) < after {
 			continue
 		}
 		if found == nil || !m.Reachable && found.Reachable || m.Reachable == found.Reachable && m.LastContact.Before(found.LastContact) {
--- a/internal/process/wasabimesh/control.go
+++ b/internal/process/wasabimesh/control.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -161,7 +162,18 @@
 	c.supervisor.Stop()
 	ctx, cancel := context.WithTimeout(ctx, shutdownTimeout)
 	defer cancel()
-	return errors.Join(c.server.Shutdown(ctx), c.supervisor.Shutdown(ctx))
+	// An operator's request that is still served must not take the time of the hand-over.
+	var handOver sync.WaitGroup
+	handOver.Go(func() {
+		if i := c.Instance(); i != nil {
+			if err := i.HandOver(ctx); err != nil {
+				c.log.Warn().Err(err).Msg("handing over failed")
+			}
+		}
+	})
+	err := c.server.Shutdown(ctx)
+	handOver.Wait()
+	return errors.Join(err, c.supervisor.Shutdown(ctx))
 }
 
 // Close implements wasabiprocess.Daemon.
--- a/wasabicontrol/group.go
+++ b/wasabicontrol/group.go
@@ -9,6 +9,7 @@
 
 	"github.com/wasabistand/wasabistand"
 	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
+	"github.com/wasabistand/wasabistand/internal/policy/wasabiform"
 	"github.com/wasabistand/wasabistand/wasabidisk"
 	"github.com/wasabistand/wasabistand/wasabilink"
 	"github.com/wasabistand/wasabistand/wasabiraft"
@@ -49,7 +50,7 @@
 	}
 	raft.MaxCommandBytes = maxCommandBytes
 	if s.maxDiskLosses > 0 {
-		raft.MaxVoters = 2*s.maxDiskLosses + 1
+		raft.MaxVoters = wasabiform.NewOptions(s.maxDiskLosses).MaxVoters()
 	}
 	out.runner, err = wasabiraft.Start(wasabiraft.RunnerConfig{
 		Self:     wasabiraft.Self{ID: s.id, Address: s.linkAddress, Storage: folder.Identity().Storage},
--- a/wasabicontrol/instance.go
+++ b/wasabicontrol/instance.go
@@ -57,6 +57,12 @@
 	linkListener    *wasabilink.Listener
 	apiServer       *http.Server
 	stopping        atomic.Bool
+	// handingOver is set once the instance prepares its planned stop.
+	handingOver atomic.Bool
+	handOver    sync.Once
+	handOverErr error
+	// membership is nil unless the root group replaces its members.
+	membership *membershipManager
 
 	// ready is closed once all fields are set; incoming streams wait for it.
 	ready         chan struct{}
@@ -160,8 +166,8 @@
 	i.linkListener = wasabilink.Serve(i.parts.LinkListener, o, i.serveStream)
 	go i.hub.run()
 	if i.settings.maxDiskLosses > 0 {
-		mm := newMembershipManager(i, i.groups[RootGroup])
-		i.wait.Go(func() { mm.run(i.ctx) })
+		i.membership = newMembershipManager(i, i.groups[RootGroup])
+		i.wait.Go(func() { i.membership.run(i.ctx) })
 	}
 	i.wait.Go(func() { i.watchDirectory(i.ctx) })
 	close(i.ready)
@@ -279,9 +285,8 @@
 	return true
 }
 
-// Shutdown transfers leadership, redirects the sessions to other control
-// instances and closes. The context bounds the transfer of leadership and the
-// shutdown of the API.
+// Shutdown hands over, redirects the sessions to other control instances and closes. The
+// context bounds the hand-over and the shutdown of the API.
 func (i *Instance) Shutdown(ctx context.Context) error {
 	if i.stopping.Swap(true) {
 		return i.Close()
@@ -289,6 +294,9 @@
 	i.log.Info().Msg("control instance stopping")
 	i.parts.Events.Record(wasabistand.Event{Kind: wasabistand.EventShutdown})
 	var failures []error
+	if err := i.HandOver(ctx); err != nil {
+		failures = append(failures, err)
+	}
 	for _, g := range i.groups {
 		if err := g.runner.Transfer(ctx); err != nil {
 			failures = append(failures, err)
--- a/wasabicontrol/join.go
+++ b/wasabicontrol/join.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"slices"
+	"sync"
+	"syscall"
 	"time"
 
 	"connectrpc.com/connect"
@@ -36,20 +38,27 @@
 var ErrRemoved = Error.New("the group has removed this instance's disk")
 
 // membershipManager maintains the members of a group. At the leader it removes
-// silent members so that others can replace them; on an instance without a
-// leader it requests to join. Join requests are decided by handleJoin.
+// members that are silent or leave, once others have taken their places; on an instance
+// without a leader it requests to join. Join requests are decided by handleJoin.
 type membershipManager struct {
 	instance        *Instance
 	group           *group
+	options         wasabiform.Options
 	planner         *wasabiform.Planner
 	addresses       []string // known members, to which join requests are sent
 	leaderlessSince time.Time
 	nextAddress     int
+	wake            chan struct{}
+
+	mu sync.Mutex
+	// leaving holds the members that asked to be replaced, with the time of the
+	// latest request.
+	leaving map[string]time.Time
 }
 
 func newMembershipManager(i *Instance, g *group) *membershipManager {
 	o := wasabiform.NewOptions(i.settings.maxDiskLosses)
-	mm := &membershipManager{instance: i, group: g, planner: wasabiform.New(o), leaderlessSince: time.Now()}
+	mm := &membershipManager{instance: i, group: g, options: o, planner: wasabiform.New(o), leaderlessSince: time.Now(), wake: make(chan struct{}, 1), leaving: map[string]time.Time{}}
 	for _, m := range g.settings.Members {
 		mm.addresses = append(mm.addresses, m.Address)
 	}
@@ -66,6 +75,7 @@
 		case <-mm.group.runner.Done():
 			return
 		case <-t.C:
+		case <-mm.wake:
 		}
 		if !mm.step(ctx) {
 			return
@@ -83,7 +93,10 @@
 	mm.planner.SetLeading(now, isLeader)
 	if isLeader {
 		mm.leaderlessSince = time.Time{}
-		mm.removeSilentMember(ctx, now, s)
+		mm.removeReplaced(ctx, now, s)
+		return true
+	}
+	if mm.instance.handingOver.Load() {
 		return true
 	}
 	if s.Leader != "" {
@@ -121,37 +134,66 @@
 func plannerMembers(s wasabiraft.Status) []wasabiform.Member {
 	list := make([]wasabiform.Member, 0, len(s.Members))
 	for _, m := range s.Members {
-		list = append(list, wasabiform.Member{ID: m.ID, Voter: m.Voter, StorageKnown: m.Storage != "", CaughtUp: m.Match >= s.Commit, LastContact: m.LastContact})
+		list = append(list, wasabiform.Member{ID: m.ID, Voter: m.Voter, StorageKnown: m.Storage != "", CaughtUp: m.Match >= s.Commit, LastContact: m.LastContact, Led: m.Led})
 	}
 	return list
 }
 
-// removeSilentMember removes a silent member if another one can replace it.
-func (mm *membershipManager) removeSilentMember(ctx context.Context, now time.Time, s wasabiraft.Status) {
+// maxRemovalsPerStep bounds the members that are removed without a pause.
+const maxRemovalsPerStep = 8
+
+// removeReplaced removes members that are silent or leave, while others have taken their
+// places.
+func (mm *membershipManager) removeReplaced(ctx context.Context, now time.Time, s wasabiraft.Status) {
+	for range maxRemovalsPerStep {
+		list := mm.observe(ctx, now, s)
+		id := mm.planner.Remove(now, s.ID, list)
+		if id == "" || !mm.remove(ctx, id, list) {
+			return
+		}
+		if now, s = time.Now(), mm.group.runner.Status(); s.Role != wasabiraft.Leader {
+			return
+		}
+	}
+}
+
+// observe returns the members as the planner needs them. Silent ones are probed.
+func (mm *membershipManager) observe(ctx context.Context, now time.Time, s wasabiraft.Status) []wasabiform.Member {
 	list := plannerMembers(s)
-	// Without a learner, no instance can replace a member.
-	hasLearner := slices.ContainsFunc(list, func(m wasabiform.Member) bool { return !m.Voter })
+	var probes sync.WaitGroup
 	for k := range list {
-		if hasLearner && mm.planner.NeedsProbe(now, s.ID, list[k]) {
-			list[k].Reachable = mm.isReachable(ctx, s.Members[k].Address)
+		m := &list[k]
+		m.Leaving = mm.isLeaving(now, m.ID)
+		// Without further members, no instance can replace another.
+		if len(list) > mm.options.Voters() && mm.planner.NeedsProbe(now, s.ID, *m) {
+			probes.Go(func() { m.Reachable, m.Refused = mm.probe(ctx, s.Members[k].Address) })
 		}
 	}
-	id := mm.planner.Remove(now, s.ID, list)
-	if id == "" {
-		return
-	}
+	probes.Wait()
+	return list
+}
+
+// remove removes a member. It returns false if that failed.
+func (mm *membershipManager) remove(ctx context.Context, id string, list []wasabiform.Member) bool {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	err := mm.group.runner.ChangeMembers(ctx, wasabiraft.MemberChange{Remove: id})
-	mm.instance.log.Warn().Str("Member", id).Int("Members", len(s.Members)).AnErr("Error", err).Msg("silent member removed")
+	for _, m := range list {
+		if m.ID == id {
+			mm.instance.log.Warn().Str("Member", id).Int("Members", len(list)).Bool("Voter", m.Voter).Bool("Leaving", m.Leaving).
+				Bool("Refused", m.Refused).Dur("Silence", time.Since(m.LastContact)).AnErr("Error", err).Msg("member removed")
+		}
+	}
+	return err == nil
 }
 
-// isReachable reports whether the process of a member accepts a link.
-func (mm *membershipManager) isReachable(ctx context.Context, address string) bool {
+// probe reports whether the process of a member accepts a link, and whether its machine
+// refuses the connection.
+func (mm *membershipManager) probe(ctx context.Context, address string) (reachable, refused bool) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	l, err := mm.instance.pool.Get(ctx, address)
-	return err == nil && l.Usable()
+	return err == nil && l.Usable(), errors.Is(err, syscall.ECONNREFUSED)
 }
 
 // requestJoin sends a join request to the next known address, and to the leader
@@ -163,12 +205,8 @@
 	}
 	address := mm.addresses[mm.nextAddress%len(mm.addresses)]
 	mm.nextAddress++
-	response, err := mm.instance.sendJoinRequest(ctx, address, established)
-	if response.GetOutcome() == wasabistandv1.JoinResponse_OUTCOME_NOT_LEADER && response.GetLeaderAddress() != "" {
-		address = response.GetLeaderAddress()
-		mm.addAddress(address)
-		response, err = mm.instance.sendJoinRequest(ctx, address, established)
-	}
+	response, address, err := mm.instance.askLeader(ctx, address, &wasabistandv1.JoinRequest{Established: established})
+	mm.addAddress(address)
 	for _, a := range response.GetAddresses() {
 		mm.addAddress(a)
 	}
@@ -181,8 +219,19 @@
 	return true
 }
 
-// sendJoinRequest sends one join request.
-func (i *Instance) sendJoinRequest(ctx context.Context, address string, established bool) (*wasabistandv1.JoinResponse, error) {
+// askLeader sends a request to an instance, and to the leader if the response names one.
+// It returns the address that responded last.
+func (i *Instance) askLeader(ctx context.Context, address string, r *wasabistandv1.JoinRequest) (*wasabistandv1.JoinResponse, string, error) {
+	response, err := i.sendJoinRequest(ctx, address, r)
+	if response.GetOutcome() == wasabistandv1.JoinResponse_OUTCOME_NOT_LEADER && response.GetLeaderAddress() != "" {
+		address = response.GetLeaderAddress()
+		response, err = i.sendJoinRequest(ctx, address, r)
+	}
+	return response, address, err
+}
+
+// sendJoinRequest sends one join request of this instance.
+func (i *Instance) sendJoinRequest(ctx context.Context, address string, r *wasabistandv1.JoinRequest) (*wasabistandv1.JoinResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	link, err := i.pool.Get(ctx, address)
@@ -195,9 +244,8 @@
 	}
 	defer s.Close()
 	_ = s.SetDeadline(time.Now().Add(joinTimeout))
-	if err := s.Send(&wasabistandv1.JoinRequest{
-		Group: RootGroup, Cluster: i.settings.cluster, Id: i.settings.id, Address: i.settings.linkAddress, Established: established,
-	}); err != nil {
+	r.Group, r.Cluster, r.Id, r.Address = RootGroup, i.settings.cluster, i.settings.id, i.settings.linkAddress
+	if err := s.Send(r); err != nil {
 		return nil, err
 	}
 	response := new(wasabistandv1.JoinResponse)
@@ -240,6 +288,15 @@
 		_, response.LeaderAddress = g.runner.Leader()
 		return response, nil
 	}
+	if r.GetLeaving() {
+		response.Outcome = wasabistandv1.JoinResponse_OUTCOME_STAYS
+		if mm := i.membership; mm != nil && mm.group == g {
+			var err error
+			response.Outcome, err = mm.replaceLeaving(ctx, r.GetId(), status)
+			return response, err
+		}
+		return response, nil
+	}
 	if isMember {
 		response.Outcome = wasabistandv1.JoinResponse_OUTCOME_MEMBER
 		return response, nil
--- a/wasabicontrol/membership_test.go
+++ b/wasabicontrol/membership_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -138,6 +139,52 @@
 	<-c.instances["control-2"].Removed()
 }
 
+// Guards against losing the configuration for good, because members that are replaced one
+// after the other, the leader among them, keep their votes: stopped in order, or killed.
+func TestMembersReplacedInARowKeepConfiguration(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		stop func(c *cluster, id string)
+	}{
+		{"stopped", func(c *cluster, id string) {
+			ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+			defer cancel()
+			assert.Check(t, c.instances[id].Shutdown(ctx))
+		}},
+		{"killed", func(c *cluster, id string) { c.kill(id) }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := newFormedCluster(t)
+			for _, id := range []string{"control-6", "control-7", "control-8"} {
+				c.startJoining(id)
+			}
+			// The group has two voters more than its target, and a learner.
+			for deadline := time.Now().Add(waitTimeout); len(c.voters(t)) < 7; {
+				assert.Assert(t, time.Now().Before(deadline), "voters: %v", c.voters(t))
+			}
+			_, err := c.applyNumbered("control-6", 0, 3, "2s")
+			assert.NilError(t, err)
+			gone := []string{"control-1", "control-2", "control-3"}
+			if l := c.leader(t); l != gone[0] && l != gone[2] {
+				gone[1] = l
+			}
+			var left []string
+			for _, id := range c.ids {
+				if !slices.Contains(gone, id) {
+					left = append(left, id)
+				}
+			}
+			for _, id := range gone {
+				test.stop(c, id)
+			}
+			a, err := c.applyNumbered(left[0], 3, 4, "1s")
+			assert.NilError(t, err)
+			assert.Equal(t, a.GetRevision(), uint64(4))
+			c.awaitVoters(t, left...)
+		})
+	}
+}
+
 // Guards against removing a member whose process responds while its disk stalls
 // instead of a member that is lost permanently.
 func TestMemberWithStalledDiskIsReplacedLast(t *testing.T) {
--- a/wasabiraft/admin.go
+++ b/wasabiraft/admin.go
@@ -43,6 +43,9 @@
 	// LastContact is the time of the last response from the member or, until the
 	// first response, the time at which the leader began to replicate to it.
 	LastContact time.Time
+	// Led is set for the leader of the term before. Its LastContact is that of its last
+	// message to this member as a follower, until it responds.
+	Led bool
 	// JoiningStorage is the identity of a new disk that waits to be admitted,
 	// empty for none.
 	JoiningStorage string
@@ -57,7 +60,7 @@
 	for _, m := range r.currentMembers().GetMembers() {
 		x := MemberStatus{ID: m.GetId(), Address: m.GetAddress(), Storage: m.GetStorage(), Voter: m.GetVoter()}
 		if p := r.progress[m.GetId()]; p != nil {
-			x.Match, x.LastContact = p.match, p.lastContact
+			x.Match, x.LastContact, x.Led = p.match, p.lastContact, p.led
 			if p.joiningStorage != m.GetStorage() {
 				x.JoiningStorage = p.joiningStorage
 			}
--- a/wasabiraft/election.go
+++ b/wasabiraft/election.go
@@ -161,6 +161,10 @@
 	r.readSequence, r.reads, r.deferredReads = 0, nil, nil
 	r.transferTo, r.uncommittedBytes, r.incomingSnapshot = "", 0, nil
 	r.updateProgress(now)
+	if p := r.progress[r.lastLeader]; p != nil && r.lastLeader != r.self.ID {
+		// The silence of that member led to the election.
+		p.lastContact, p.led = r.lastLeaderContact, true
+	}
 	r.electionDeadline = now.Add(r.settings.ElectionTimeout)
 	r.nextHeartbeat = now.Add(r.settings.HeartbeatInterval)
 	r.appendEntry(now, wasabistandv1.LogEntry_KIND_EMPTY, nil)
--- a/wasabiraft/replica.go
+++ b/wasabiraft/replica.go
@@ -88,6 +88,7 @@
 	// with the log of this term's leader.
 	matchedIndex      uint64
 	lastLeaderContact time.Time // last message from the leader of this term
+	lastLeader        string    // the sender of that message, empty if there was none
 	electionDeadline  time.Time // next campaign, or the next quorum check of a leader
 	nextHeartbeat     time.Time // next heartbeat of a leader
 	votes             map[string]bool
--- a/wasabiraft/replicate.go
+++ b/wasabiraft/replicate.go
@@ -21,6 +21,7 @@
 	snapshotOffset  uint64
 	sentCommit      uint64 // commit index in the latest message
 	lastContact     time.Time
+	led             bool // the member was the last leader that this replica followed
 	readAck         uint64
 	storage         string // identity of the disk that holds the membership
 	joiningStorage  string // identity of a new disk of this member that requests to join
--- a/wasabiraft/step.go
+++ b/wasabiraft/step.go
@@ -112,7 +112,7 @@
 	if r.role != Follower || r.leader != m.GetFrom() {
 		r.becomeFollower(now, r.Term(), m.GetFrom())
 	}
-	r.lastLeaderContact = now
+	r.lastLeader, r.lastLeaderContact = m.GetFrom(), now
 	r.resetElectionDeadline(now)
 	switch m.GetKind() {
 	case wasabistandv1.GroupMessage_KIND_APPEND:
