wasabigateway: the health path is read for each health check

Cause: the loop that asks a new incarnation got the path by value, that of the configuration in force when the upstream reported, or /health if there was none.

Change: each health check reads the path. A node without a configuration does not ask, since a response at another path says nothing, and asks when it comes.

--- a/internal/traffic/wasabigateway/gateway.go
+++ b/internal/traffic/wasabigateway/gateway.go
@@ -190,9 +190,7 @@
 			MaxHeaderBytes: c.Clients.MaxHeaderBytes, MaxBodyBytes: c.Clients.MaxBodyBytes,
 			HeaderTimeout: c.Clients.HeaderTimeout, IdleTimeout: c.Clients.IdleTimeout,
 		})
-		if u, ok := c.Upstreams[g.settings.service]; ok {
-			g.local.configure(u)
-		}
+		g.local.configure(c.Upstreams[g.settings.service])
 		g.config.Store(&appliedConfig{revision: v.Revision, configuration: c, table: table})
 		g.log.Info().Uint64("Revision", v.Revision).Int("Routes", table.Routes()).Str("Source", v.Source).Msg("configuration in force")
 	}
@@ -211,6 +209,14 @@
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
 
+// Revision returns the revision of the applied configuration, 0 for none.
+func (g *Gateway) Revision() uint64 {
+	if c := g.config.Load(); c != nil {
+		return c.revision
+	}
+	return 0
+}
+
 // Ready reports whether callers should send requests to this node.
 func (g *Gateway) Ready() bool { return g.config.Load() != nil && g.stoppingSince.Load() == 0 }
 
--- a/internal/traffic/wasabigateway/gateway_test.go
+++ b/internal/traffic/wasabigateway/gateway_test.go
@@ -41,7 +41,9 @@
 	// health is the response to health checks; it is guarded by mu once the upstream
 	// serves.
 	health string
-	gone   chan string
+	// healthPath is the only path that is answered with health; it is guarded by mu.
+	healthPath string
+	gone       chan string
 	// healthChecks counts the health checks.
 	healthChecks atomic.Int64
 	// connections counts the accepted connections.
@@ -56,7 +58,7 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = ln.Close() })
-	u := &upstream{name: name, address: ln.Addr().String(), respond: respond, gone: make(chan string, 16), health: "HTTP/1.1 200 OK\r\nName: " + name + "\r\nContent-Length: 0\r\n\r\n"}
+	u := &upstream{name: name, address: ln.Addr().String(), respond: respond, gone: make(chan string, 16), healthPath: "/health", health: "HTTP/1.1 200 OK\r\nName: " + name + "\r\nContent-Length: 0\r\n\r\n"}
 	go acceptAll(ln, func(c net.Conn) {
 		u.connections.Add(1)
 		u.serve(c)
@@ -88,9 +90,9 @@
 			return
 		}
 		u.mu.Lock()
-		text := u.health
+		text, isHealth := u.health, q.URL.Path == u.healthPath
 		u.mu.Unlock()
-		if q.URL.Path == "/health" {
+		if isHealth {
 			u.healthChecks.Add(1)
 		} else {
 			u.mu.Lock()
@@ -191,6 +193,20 @@
 	close(*k.changed.Swap(&next))
 }
 
+// publish replaces the configuration in the view by a new revision.
+func (k *control) publish(c *wasabistand.Configuration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	v := wasabistand.View{Instances: map[string][]wasabistand.Instance{}}
+	if old := k.view.Load(); old != nil {
+		v = *old
+	}
+	v.Revision, v.Configuration = v.Revision+1, c
+	k.view.Store(&v)
+	next := make(chan struct{})
+	close(*k.changed.Swap(&next))
+}
+
 // announced returns all announcements in their order.
 func (k *control) announced() []wasabistand.Instance {
 	k.mu.Lock()
--- a/internal/traffic/wasabigateway/local.go
+++ b/internal/traffic/wasabigateway/local.go
@@ -1,6 +1,7 @@
 package wasabigateway
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -28,6 +29,8 @@
 	upstreamIdleTimeout = 5 * time.Second
 	// upstreamDialTimeout bounds the opening of a connection on the same machine.
 	upstreamDialTimeout = 500 * time.Millisecond
+	// defaultHealthPath is used for an upstream without a configured path.
+	defaultHealthPath = "/health"
 	// defaultMaxConnections is used for an upstream without a configured limit.
 	defaultMaxConnections = 256
 	// unreachableTimeout is how long an instance may be unreachable without a
@@ -67,11 +70,12 @@
 	unreachableSince time.Time // when the instance became unreachable, zero if it is reachable
 	lastAnnounced    wasabistand.Instance
 	maxConns         int
-	healthPath       string
+	// healthPath is empty until the node has a configuration.
+	healthPath string
 }
 
 func newLocalInstance(g *Gateway, log zerolog.Logger) *localInstance {
-	return &localInstance{gateway: g, log: log, tracker: wasabiinstance.New(g.settings.service, g.settings.upstream), maxConns: defaultMaxConnections, healthPath: "/health"}
+	return &localInstance{gateway: g, log: log, tracker: wasabiinstance.New(g.settings.service, g.settings.upstream), maxConns: defaultMaxConnections}
 }
 
 // currentLease returns the lease under which a call may be sent to the instance.
@@ -137,10 +141,10 @@
 	if s.Leaving && !before.Leaving || s.Leaving && s.Lifetime != before.Lifetime {
 		o.scheduleRevocation(s)
 	}
-	if s.NeedsConfirmation() && o.probing != s.Lifetime {
+	if s.NeedsConfirmation() && o.probing != s.Lifetime && o.healthPath != "" {
 		o.probing = s.Lifetime
-		l, path := o.lease, o.healthPath
-		o.gateway.background(func() { o.probe(l, path) })
+		l := o.lease
+		o.gateway.background(func() { o.probe(l) })
 	}
 	o.announce(now)
 }
@@ -190,11 +194,15 @@
 
 // probe repeats the health check of a new incarnation until the instance accepts calls
 // or leaves. A check that fails holds only for its moment: the instance may accept calls
-// at the next one.
-func (o *localInstance) probe(l *lease, path string) {
+// at the next one, or at another path that the configuration names by then.
+func (o *localInstance) probe(l *lease) {
 	var logged string
 	var loggedAt time.Time
-	for pause := minProbePause; o.needsProbe(l); pause = min(2*pause, maxProbePause) {
+	for pause := minProbePause; ; pause = min(2*pause, maxProbePause) {
+		path, ok := o.nextProbe(l)
+		if !ok {
+			return
+		}
 		err := o.checkHealth(l, path)
 		if err == nil {
 			o.confirm(l)
@@ -213,11 +221,12 @@
 	}
 }
 
-// needsProbe reports whether the incarnation of a lease has yet to be asked with success.
-func (o *localInstance) needsProbe(l *lease) bool {
+// nextProbe returns the path of the next health check, and whether the incarnation of a
+// lease has yet to be asked with success.
+func (o *localInstance) nextProbe(l *lease) (path string, ok bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.gateway.ctx.Err() == nil && o.lease == l && o.tracker.State().NeedsConfirmation()
+	return o.healthPath, o.gateway.ctx.Err() == nil && o.lease == l && o.tracker.State().NeedsConfirmation()
 }
 
 // confirm records that the incarnation of a lease accepts calls.
@@ -273,19 +282,19 @@
 }
 
 // configure applies the policy that operators configured for the service's
-// upstreams.
+// upstreams, the zero value if there is none.
 func (o *localInstance) configure(c wasabistand.UpstreamPolicy) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if c.HealthPath != "" {
-		o.healthPath = c.HealthPath
-	}
+	o.healthPath = cmp.Or(c.HealthPath, defaultHealthPath)
 	if c.MaxConnections > 0 {
 		o.maxConns = c.MaxConnections
 		if o.lease != nil {
 			o.lease.upstream.SetMaxConnections(c.MaxConnections)
 		}
 	}
+	// An instance that reported before the configuration came is asked now.
+	o.handleChange(o.gateway.now(), o.tracker.State())
 }
 
 // stop announces that the node leaves.
--- a/internal/traffic/wasabigateway/metrics.go
+++ b/internal/traffic/wasabigateway/metrics.go
@@ -63,12 +63,7 @@
 		gauge("wasabi_upstream_unconfirmed_seconds", "How long the local upstream has been known without confirming that it accepts calls, 0 if it accepts them or leaves.", func() float64 {
 			return g.local.unconfirmedFor().Seconds()
 		}),
-		gauge("wasabi_configuration_revision", "Revision of the applied configuration, 0 for none.", func() float64 {
-			if c := g.config.Load(); c != nil {
-				return float64(c.revision)
-			}
-			return 0
-		}),
+		gauge("wasabi_configuration_revision", "Revision of the applied configuration, 0 for none.", func() float64 { return float64(g.Revision()) }),
 		gauge("wasabi_caller_connections", "Open connections of callers.", func() float64 { return float64(g.server.Connections()) }),
 		gauge("wasabi_held_body_bytes", "Bytes of request bodies that are buffered.", func() float64 { return float64(g.heldBodyBytes.Load()) }),
 		gauge("wasabi_ready", "1 while callers should send requests to this node.", func() float64 {
