wasabigateway: the number of connections follows a configuration that names none

Callers saw: nothing yet; found by a test that replaces each field of a configuration on a running node.

Cause: a policy without MaxConnections, or none for the service any more, left the number of the revision before in force until the node was started again.

Evidence: TestEachFieldOfConfigurationTakesEffect/UpstreamPolicy.Service failed before ("timeout hit after 20s: not in effect").

Change: each revision sets the number, the default where it names none.

--- a/internal/traffic/wasabigateway/change_test.go
+++ b/internal/traffic/wasabigateway/change_test.go
@@ -1,8 +1,13 @@
 package wasabigateway_test
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"reflect"
+	"strings"
 	"testing"
 	"time"
 
@@ -65,3 +70,109 @@
 	k.publish(withHealthPath("/new"))
 	k.awaitReady(t, n, "s", 5)
 }
+
+// exchange sends one request on a connection and returns the status, 0 if the connection
+// ends without a response.
+func exchange(t *testing.T, c net.Conn, request string) int {
+	t.Helper()
+	assert.NilError(t, c.SetDeadline(time.Now().Add(20*time.Second)))
+	if _, err := io.WriteString(c, request); err != nil {
+		return 0
+	}
+	a, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
+	}
+	_, err = io.Copy(io.Discard, a.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, a.Body.Close())
+	return a.StatusCode
+}
+
+// Guards against a value of the configuration that a running node keeps from an earlier
+// revision. Each field that a gateway uses is replaced, and its effect is seen without a
+// restart of the node or its instance; open connections of callers follow.
+func TestEachFieldOfConfigurationTakesEffect(t *testing.T) {
+	k := newControl(configuration(time.Minute))
+	u := newUpstream(t, "i", echoResponse)
+	n := newNode(t, k, "node", "s", u.address)
+	n.sendHeartbeat(t, k, u, "s", 5)
+	const get = "GET /read/x HTTP/1.1\r\nHost: h\r\nId: get\r\nContent-Length: 0\r\n"
+	// await repeats a check until the change has taken effect.
+	await := func(t *testing.T, check func() bool) {
+		t.Helper()
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if !check() {
+				return poll.Continue("not in effect")
+			}
+			return poll.Success()
+		}, poll.WithTimeout(20*time.Second), poll.WithDelay(5*time.Millisecond))
+	}
+	status := func(path string) int { return n.call(t, http.MethodGet, path, "x", "").status }
+	connections := func() int {
+		list := k.announced()
+		return list[len(list)-1].Connections
+	}
+	sequence := uint64(1)
+	tests := map[string]struct {
+		change func(*wasabistand.Configuration)
+		check  func(t *testing.T, open net.Conn)
+	}{
+		"Host.Name":   {func(c *wasabistand.Configuration) { c.Hosts[0].Name = "other" }, func(t *testing.T, _ net.Conn) { await(t, func() bool { return status("/read/x") == 404 }) }},
+		"Host.Routes": {func(c *wasabistand.Configuration) { c.Hosts[0].Routes = c.Hosts[0].Routes[1:] }, func(t *testing.T, _ net.Conn) { await(t, func() bool { return status("/read/x") == 404 }) }},
+		"UpstreamPolicy.Service": {func(c *wasabistand.Configuration) {
+			c.Upstreams = map[string]wasabistand.UpstreamPolicy{"t": {Service: "t", MaxConnections: 100}}
+		}, func(t *testing.T, _ net.Conn) { await(t, func() bool { return connections() == 256 }) }},
+		"UpstreamPolicy.MaxConnections": {func(c *wasabistand.Configuration) {
+			c.Upstreams["s"] = wasabistand.UpstreamPolicy{Service: "s", HealthPath: "/health", MaxConnections: 7}
+		}, func(t *testing.T, _ net.Conn) { await(t, func() bool { return connections() == 7 }) }},
+		"UpstreamPolicy.HealthPath": {func(c *wasabistand.Configuration) {
+			c.Upstreams["s"] = wasabistand.UpstreamPolicy{Service: "s", HealthPath: "/status", MaxConnections: 100}
+		}, func(t *testing.T, _ net.Conn) {
+			u.mu.Lock()
+			u.healthPath = "/status"
+			u.mu.Unlock()
+			sequence++
+			r := u.report("s", 5)
+			r.ID, r.Born = "j", sequence
+			u.setHealth(strings.Replace(u.health, "Name: i", "Name: j", 1))
+			assert.NilError(t, n.Heartbeat(r))
+			k.awaitReady(t, n, "s", 5)
+		}},
+		"ClientLimits.MaxHeaderBytes": {func(c *wasabistand.Configuration) { c.Clients.MaxHeaderBytes = 200 }, func(t *testing.T, open net.Conn) {
+			assert.Equal(t, exchange(t, open, get+"X: "+strings.Repeat("a", 300)+"\r\n\r\n"), http.StatusRequestHeaderFieldsTooLarge)
+		}},
+		"ClientLimits.MaxBodyBytes": {func(c *wasabistand.Configuration) { c.Clients.MaxBodyBytes = 2 }, func(t *testing.T, open net.Conn) {
+			assert.Equal(t, exchange(t, open, "POST /book/x HTTP/1.1\r\nHost: h\r\nId: p\r\nContent-Length: 3\r\n\r\nabc"), http.StatusRequestEntityTooLarge)
+		}},
+		"ClientLimits.HeaderTimeout": {func(c *wasabistand.Configuration) { c.Clients.HeaderTimeout = 50 * time.Millisecond }, func(t *testing.T, open net.Conn) {
+			assert.Equal(t, exchange(t, open, get), http.StatusRequestTimeout)
+		}},
+	}
+	for _, of := range []reflect.Type{reflect.TypeFor[wasabistand.Host](), reflect.TypeFor[wasabistand.UpstreamPolicy](), reflect.TypeFor[wasabistand.ClientLimits]()} {
+		for field := range of.NumField() {
+			name := of.Name() + "." + of.Field(field).Name
+			if name == "ClientLimits.IdleTimeout" {
+				continue
+			}
+			test, ok := tests[name]
+			assert.Assert(t, ok, "%s has no test", name)
+			t.Run(name, func(t *testing.T) {
+				open, err := net.Dial("tcp", n.address)
+				assert.NilError(t, err)
+				defer open.Close()
+				assert.Equal(t, exchange(t, open, get+"\r\n"), http.StatusOK)
+				changed := configuration(time.Minute)
+				test.change(changed)
+				k.publish(changed)
+				revision := k.View().Revision
+				await(t, func() bool { return n.Revision() >= revision })
+				test.check(t, open)
+				// The next case begins with the first configuration.
+				k.publish(configuration(time.Minute))
+				await(t, func() bool { return n.Revision() > revision })
+				await(t, func() bool { return connections() == 100 && status("/read/x") == 200 })
+			})
+		}
+	}
+}
--- a/internal/traffic/wasabigateway/local.go
+++ b/internal/traffic/wasabigateway/local.go
@@ -287,11 +287,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.healthPath = cmp.Or(c.HealthPath, defaultHealthPath)
-	if c.MaxConnections > 0 {
-		o.maxConns = c.MaxConnections
-		if o.lease != nil {
-			o.lease.upstream.SetMaxConnections(c.MaxConnections)
-		}
+	o.maxConns = cmp.Or(c.MaxConnections, defaultMaxConnections)
+	if o.lease != nil {
+		o.lease.upstream.SetMaxConnections(o.maxConns)
 	}
 	// An instance that reported before the configuration came is asked now.
 	o.handleChange(o.gateway.now(), o.tracker.State())
