wasabihttp: an idle connection follows a changed idle timeout

Callers saw: nothing yet; found by a test that replaces each field of a configuration on a running node. A connection that was idle when the timeout was lowered stayed open for the earlier one.

Cause: the read deadline was set when the connection became idle.

Evidence: TestEachFieldOfConfigurationTakesEffect/ClientLimits.IdleTimeout failed before ("the connection stays open" after 20 s with a timeout of 50 ms).

Change: SetLimits sets the deadline of the connections that wait for a request.

--- a/internal/edge/wasabihttp/conn.go
+++ b/internal/edge/wasabihttp/conn.go
@@ -54,6 +54,9 @@
 	idle      bool
 	closeIdle bool
 	idleSince time.Time
+	// untilIdleTimeout reports whether the reader waits for a request until the idle
+	// timeout.
+	untilIdleTimeout bool
 }
 
 // maxPipelined bounds the requests of a connection that are served concurrently.
@@ -188,6 +191,7 @@
 
 // awaitRequest waits for the first byte of a request, at most for the idle timeout.
 func (c *conn) awaitRequest(last *Exchange) bool {
+	defer c.endIdleTimeout()
 	if c.reader.Buffered() > 0 {
 		return true
 	}
@@ -201,6 +205,7 @@
 		if last == nil || c.hasBuffered {
 			_ = c.raw.SetReadDeadline(c.idleDeadline())
 		}
+		c.untilIdleTimeout = true
 		limit := c.idleDeadline()
 		c.mu.Unlock()
 		_, err := c.reader.Peek(1)
@@ -219,6 +224,13 @@
 	}
 }
 
+// endIdleTimeout records that the reader no longer waits until the idle timeout.
+func (c *conn) endIdleTimeout() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.untilIdleTimeout = false
+}
+
 // closeIfIdle closes the connection if no request has started.
 func (c *conn) closeIfIdle() {
 	c.mu.Lock()
@@ -229,6 +241,15 @@
 	}
 }
 
+// applyIdleTimeout applies a changed idle timeout to a connection that is idle already.
+func (c *conn) applyIdleTimeout() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.untilIdleTimeout && !c.closeIdle {
+		_ = c.raw.SetReadDeadline(c.idleDeadline())
+	}
+}
+
 // readRequest parses the head of a request. It returns nil if the connection failed
 // or the request was rejected.
 func (c *conn) readRequest(previous *Exchange) *Exchange {
--- a/internal/edge/wasabihttp/exchange.go
+++ b/internal/edge/wasabihttp/exchange.go
@@ -200,6 +200,7 @@
 		_ = c.raw.SetReadDeadline(expiredDeadline)
 	default:
 		_ = c.raw.SetReadDeadline(c.idleDeadline())
+		c.untilIdleTimeout = true
 	}
 	c.mu.Unlock()
 	close(x.done)
--- a/internal/edge/wasabihttp/server.go
+++ b/internal/edge/wasabihttp/server.go
@@ -70,7 +70,14 @@
 func (s *Server) isPipelinable(r *http.Request) bool { return s.pipelined != nil && s.pipelined(r) }
 
 // SetLimits replaces the limits, also for open connections.
-func (s *Server) SetLimits(l Limits) { s.limits.Store(&l) }
+func (s *Server) SetLimits(l Limits) {
+	s.limits.Store(&l)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.applyIdleTimeout()
+	}
+}
 
 // acceptRetryDelay is the pause after a failed accept, such as for lack of file
 // descriptors.
--- a/internal/traffic/wasabigateway/change_test.go
+++ b/internal/traffic/wasabigateway/change_test.go
@@ -148,13 +148,15 @@
 		"ClientLimits.HeaderTimeout": {func(c *wasabistand.Configuration) { c.Clients.HeaderTimeout = 50 * time.Millisecond }, func(t *testing.T, open net.Conn) {
 			assert.Equal(t, exchange(t, open, get), http.StatusRequestTimeout)
 		}},
+		"ClientLimits.IdleTimeout": {func(c *wasabistand.Configuration) { c.Clients.IdleTimeout = 50 * time.Millisecond }, func(t *testing.T, open net.Conn) {
+			assert.NilError(t, open.SetDeadline(time.Now().Add(20*time.Second)))
+			_, err := open.Read(make([]byte, 1))
+			assert.Equal(t, err, io.EOF, "the connection stays open")
+		}},
 	}
 	for _, of := range []reflect.Type{reflect.TypeFor[wasabistand.Host](), reflect.TypeFor[wasabistand.UpstreamPolicy](), reflect.TypeFor[wasabistand.ClientLimits]()} {
 		for field := range of.NumField() {
 			name := of.Name() + "." + of.Field(field).Name
-			if name == "ClientLimits.IdleTimeout" {
-				continue
-			}
 			test, ok := tests[name]
 			assert.Assert(t, ok, "%s has no test", name)
 			t.Run(name, func(t *testing.T) {
