wasabihead: a connection that broke during a write has no end of stream

Cause: the kernel reports a reset once. A write that runs gets it, and the read returns the end of the stream, which ends a body without a length. http.Transport, which wasabinode uses, does the same.

Change: wasabihead.Conn, below both clients, remembers the error of a write for reads and waits for the write that runs.

--- /dev/null
+++ b/internal/edge/wasabihttp/broken_test.go
@@ -0,0 +1,101 @@
+package wasabihttp_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// uploadBytes is more than the socket buffers of both sides hold.
+const uploadBytes = 16 << 20
+
+// serveRaw serves each connection of a listener with f.
+func serveRaw(t *testing.T, f func(c net.Conn, r *bufio.Reader, q *http.Request)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				if q, err := http.ReadRequest(r); err == nil {
+					f(c, r, q)
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// upload sends a long body and returns the response.
+func upload(t *testing.T, address string) (body string, err error) {
+	t.Helper()
+	u := upstream(address)
+	defer u.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	r := &http.Request{
+		Method: http.MethodPost, URL: &url.URL{Opaque: "/x"}, Host: "h", Header: http.Header{"Id": {"1"}},
+		Body: io.NopCloser(bytes.NewReader(make([]byte, uploadBytes))), ContentLength: uploadBytes,
+	}
+	call, err := u.Do(ctx, r)
+	if err != nil {
+		return "", err
+	}
+	defer call.Close()
+	b, err := io.ReadAll(call)
+	return string(b), err
+}
+
+// after waits on the side of the upstream, so that the reset meets writes in different
+// states.
+func after(d time.Duration) { <-time.After(d) }
+
+// Guards against a part of a response without a length that is taken for the whole, since
+// the connection was reset while the request was being sent: the write gets the error, and
+// the read the end of the stream.
+func TestResetDuringUploadIsNotWhole(t *testing.T) {
+	for pause := range 12 {
+		for range 4 {
+			address := serveRaw(t, func(c net.Conn, _ *bufio.Reader, _ *http.Request) {
+				_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\npart")
+				assert.Check(t, err)
+				after(time.Duration(pause) * 3 * time.Millisecond)
+				assert.Check(t, c.(*net.TCPConn).SetLinger(0))
+			})
+			body, err := upload(t, address)
+			assert.Assert(t, err != nil, "pause %d: %q is taken for a whole response", pause, body)
+		}
+	}
+}
+
+// Guards against a whole response that is refused, because the upstream sent it and ended
+// the stream before it had read the request.
+func TestOrderlyEndDuringUploadIsWhole(t *testing.T) {
+	for pause := range 6 {
+		address := serveRaw(t, func(c net.Conn, r *bufio.Reader, _ *http.Request) {
+			_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nwhole")
+			assert.Check(t, err)
+			assert.Check(t, c.(*net.TCPConn).CloseWrite())
+			after(time.Duration(pause) * 3 * time.Millisecond)
+			_, _ = io.Copy(io.Discard, r)
+		})
+		body, err := upload(t, address)
+		assert.NilError(t, err)
+		assert.Equal(t, body, "whole")
+	}
+}
--- a/internal/edge/wasabihttp/upstream.go
+++ b/internal/edge/wasabihttp/upstream.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/wasabistand/wasabistand/internal/edge/wasabihead"
 )
 
 // Errors of a call to an upstream.
@@ -65,7 +67,7 @@
 
 type upstreamConn struct {
 	owner       *Upstream
-	raw         net.Conn
+	raw         *wasabihead.Conn
 	header      headerReader
 	reader      *bufio.Reader
 	writer      *bufio.Writer
@@ -121,7 +123,7 @@
 		c := u.idle[n-1]
 		u.idle = u.idle[:n-1]
 		u.mu.Unlock()
-		if now.Sub(c.idleSince) < c.idleTimeout && isIdle(c.raw) {
+		if now.Sub(c.idleSince) < c.idleTimeout && isIdle(c.raw.NetConn()) {
 			return c
 		}
 		c.close()
@@ -168,9 +170,10 @@
 		u.mu.Unlock()
 		return nil, errors.Join(ErrNotSent, err)
 	}
-	c := &upstreamConn{owner: u, raw: raw, header: headerReader{r: raw}, idleTimeout: u.options.IdleTimeout}
+	c := &upstreamConn{owner: u, raw: wasabihead.NewConn(raw), idleTimeout: u.options.IdleTimeout}
+	c.header = headerReader{r: c.raw}
 	c.reader = bufio.NewReaderSize(&c.header, readBuffer)
-	c.writer = bufio.NewWriterSize(raw, writeBuffer)
+	c.writer = bufio.NewWriterSize(c.raw, writeBuffer)
 	return c, nil
 }
 
@@ -185,7 +188,7 @@
 	var expired []*upstreamConn
 	kept := u.idle[:0]
 	for i, c := range u.idle {
-		if now.Sub(c.idleSince) >= c.idleTimeout || i < maxPruneChecks && !isIdle(c.raw) {
+		if now.Sub(c.idleSince) >= c.idleTimeout || i < maxPruneChecks && !isIdle(c.raw.NetConn()) {
 			expired = append(expired, c)
 		} else {
 			kept = append(kept, c)
--- a/wasabinode/upstream.go
+++ b/wasabinode/upstream.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/wasabistand/wasabistand"
+	"github.com/wasabistand/wasabistand/internal/edge/wasabihead"
 	"github.com/wasabistand/wasabistand/wasabicall"
 	"github.com/wasabistand/wasabistand/wasabiheader"
 )
@@ -35,7 +36,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &countedConn{Conn: c}, nil
+			return &countedConn{Conn: wasabihead.NewConn(c)}, nil
 		},
 		DisableCompression:  true,
 		MaxConnsPerHost:     connections,
