wasabihead: the heads of responses are checked against the grammar

Cause: net/http parses names with blanks and any status of three digits; statuses below 200 were skipped as informational.

Change: CheckResponse refuses a head that RFC 9112 does not allow, before it is parsed, in wasabihttp and, by a connection that holds the head back, in front of the http.Transport of wasabinode. Statuses between nodes are 200 to 599.

--- a/internal/edge/wasabihead/conn.go
+++ b/internal/edge/wasabihead/conn.go
@@ -1,4 +1,3 @@
-// Package wasabihead tells the end of an HTTP message from the end of its connection.
 package wasabihead
 
 import (
@@ -7,13 +6,8 @@
 	"io"
 	"net"
 	"sync"
-
-	"github.com/zeebo/errs"
 )
 
-// Error is the class of this package's errors.
-var Error = errs.Class("head")
-
 // ErrBroken means that a connection ended with an error in place of the end of its
 // stream.
 var ErrBroken = Error.New("the connection broke")
--- a/internal/edge/wasabihttp/broken_test.go
+++ b/internal/edge/wasabihttp/broken_test.go
@@ -99,3 +99,24 @@
 		assert.Equal(t, body, "whole")
 	}
 }
+
+// Guards against a response that is skipped, or passed on with a head or a body that is not
+// the upstream's, because its head is not one of the protocol.
+func TestMalformedResponseIsRefused(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 000 X", "HTTP/1.1 042 X", "HTTP/1.1 099 X", "HTTP/1.1 600 X", "HTTP/1.1 999 X",
+		"HTTP/1.1 200 OK\r\nX Y: z", "HTTP/1.1 200 OK\r\nX\tY: z", "HTTP/1.1 200 OK\r\nX\x01: z", "HTTP/1.1 200 OK\r\nX\x7f: z", "HTTP/1.1 200 OK\r\n: z",
+		"HTTP/1.1 200 OK\r\nContent-Length : 2", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 5",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked", "HTTP/1.1 200 OK\r\nX: a\x01b", "HTTP/1.1 200 OK\r\nX: a\r\n b",
+		"HTTP/1.1 103 Early\r\nX Y: z\r\n\r\nHTTP/1.1 200 OK",
+	} {
+		// What follows would be a response, if the first were skipped.
+		address := serveRaw(t, func(c net.Conn, _ *bufio.Reader, _ *http.Request) {
+			_, _ = io.WriteString(c, head+"\r\nId: 1\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nother")
+		})
+		u := upstream(address)
+		status, body, err := do(u, "1")
+		assert.Assert(t, err != nil, "%q: %d %q", head, status, body)
+		assert.NilError(t, u.Close())
+	}
+}
--- a/internal/edge/wasabihttp/upstream.go
+++ b/internal/edge/wasabihttp/upstream.go
@@ -68,8 +68,7 @@
 type upstreamConn struct {
 	owner       *Upstream
 	raw         *wasabihead.Conn
-	header      headerReader
-	reader      *bufio.Reader
+	reader      *wasabihead.Reader
 	writer      *bufio.Writer
 	idleSince   time.Time
 	idleTimeout time.Duration
@@ -171,8 +170,7 @@
 		return nil, errors.Join(ErrNotSent, err)
 	}
 	c := &upstreamConn{owner: u, raw: wasabihead.NewConn(raw), idleTimeout: u.options.IdleTimeout}
-	c.header = headerReader{r: c.raw}
-	c.reader = bufio.NewReaderSize(&c.header, readBuffer)
+	c.reader = wasabihead.NewReader(c.raw, readBuffer)
 	c.writer = bufio.NewWriterSize(c.raw, writeBuffer)
 	return c, nil
 }
@@ -282,29 +280,40 @@
 	return c.conn.writer.Flush()
 }
 
+// read reads the heads of responses until one that is not informational.
 func (c *Call) read(ctx context.Context, r *http.Request) error {
 	for range maxInformational {
-		c.conn.header.active, c.conn.header.remaining = true, c.conn.owner.options.MaxHeaderBytes+readBuffer
-		//nolint:bodyclose // The body ends with the call, which owns the connection.
-		resp, err := http.ReadResponse(c.conn.reader, r)
-		c.conn.header.active = false
-		if err != nil {
-			if ctx.Err() != nil {
-				return errors.Join(ErrBadResponse, context.Cause(ctx))
-			}
+		status, resp, err := c.readHead(r)
+		switch {
+		case err != nil && ctx.Err() != nil:
+			return errors.Join(ErrBadResponse, context.Cause(ctx))
+		case err != nil:
 			return errors.Join(ErrBadResponse, err)
-		}
-		if resp.StatusCode >= 200 {
+		case status >= 200:
 			c.Response = resp
 			return nil
-		}
-		if resp.StatusCode == http.StatusSwitchingProtocols {
+		case status == http.StatusSwitchingProtocols:
 			return ErrBadResponse
 		}
 	}
 	return errors.Join(ErrBadResponse, Error.New("more than %d 1xx responses", maxInformational))
 }
 
+// readHead reads the head of one response, checks and parses it.
+func (c *Call) readHead(r *http.Request) (status int, resp *http.Response, err error) {
+	reader := c.conn.reader
+	head, err := reader.PeekHead(c.conn.owner.options.MaxHeaderBytes + readBuffer)
+	if err != nil {
+		return 0, nil, err
+	}
+	if status, err = wasabihead.CheckResponse(head); err != nil {
+		return 0, nil, err
+	}
+	//nolint:bodyclose // The body ends with the call, which owns the connection.
+	resp, err = http.ReadResponse(reader.Reader, r)
+	return status, resp, err
+}
+
 // Read reads the response's body. io.EOF means that it is complete.
 func (c *Call) Read(p []byte) (int, error) {
 	n, err := c.Response.Body.Read(p)
--- a/internal/traffic/wasabigateway/broken_test.go
+++ b/internal/traffic/wasabigateway/broken_test.go
@@ -57,3 +57,23 @@
 		}
 	}
 }
+
+// Guards against an answer that the upstream didn't give, because the head of its response
+// is not one of the protocol.
+func TestMalformedResponseIsNoAnswer(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 000 X", "HTTP/1.1 099 X", "HTTP/1.1 600 X", "HTTP/1.1 200 OK\r\nX Y: z", "HTTP/1.1 200 OK\r\nX\x01: z",
+		"HTTP/1.1 200 OK\r\nContent-Length : 2", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked",
+	} {
+		k := newControl(configuration(time.Minute))
+		u := newUpstream(t, "i", func(q *http.Request, _ string) string {
+			fields := "Id: " + q.Header.Get("Id") + "\r\nMark: m\r\n"
+			return head + "\r\n" + fields + "\r\nHTTP/1.1 200 OK\r\n" + fields + "Content-Length: 5\r\n\r\nother!"
+		})
+		n := newNode(t, k, "node", "s", u.address)
+		n.sendHeartbeat(t, k, u, "s", 5)
+		a := n.call(t, http.MethodPost, "/book/x", "one", "body")
+		assert.Equal(t, a.status, http.StatusBadGateway, "%q: %s", head, a.body)
+		assert.Equal(t, a.header.Get("Mark"), "")
+	}
+}
--- a/internal/traffic/wasabigateway/link.go
+++ b/internal/traffic/wasabigateway/link.go
@@ -171,7 +171,7 @@
 	case *wasabistandv1.CallFrame_Answer:
 		m := k.Answer
 		status := int(m.GetStatus())
-		if status < 200 || status > 999 {
+		if status < 200 || status > 599 {
 			return protocolError("answer with status %d", status), false
 		}
 		resp := &response{status: status, headers: http.Header{}, length: m.GetContentLength(), body: m.GetBody()}
--- a/wasabinode/broken_test.go
+++ b/wasabinode/broken_test.go
@@ -52,3 +52,58 @@
 		}
 	}
 }
+
+// Guards against a response that is passed on with a head or a body that is not the
+// upstream's, because its head is not one of the protocol.
+func TestMalformedResponseIsUnknown(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 000 X", "HTTP/1.1 042 X", "HTTP/1.1 600 X", "HTTP/1.1 999 X",
+		"HTTP/1.1 200 OK\r\nX Y: z", "HTTP/1.1 200 OK\r\nX\x01: z", "HTTP/1.1 200 OK\r\nX\x7f: z",
+		"HTTP/1.1 200 OK\r\nContent-Length : 2", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 5",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked", "HTTP/1.1 200 OK\r\nX: a\x01b", "HTTP/1.1 200 OK\r\nX: a\r\n b",
+		"HTTP/1.1 103 Early\r\nX Y: z\r\n\r\nHTTP/1.1 200 OK",
+	} {
+		m := newMesh(t)
+		a := m.add("a1", "a", hijacked(t, head+"\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother", func(net.Conn) {}))
+		m.awaitReady()
+		w := m.do(request(t, a, "POST", "a", "/approve", "Idempotency-Key", "k"))
+		assert.Equal(t, w.header.Get("Wasabi-Outcome"), "unknown", "%q: %d %s", head, w.status, w.header)
+	}
+}
+
+// Guards against a response that is refused although its head is allowed: informational
+// responses before it, a head in parts, one longer than a buffer, and connections that are
+// used again.
+func TestAllowedResponsesPass(t *testing.T) {
+	m := newMesh(t)
+	long := string(bytes.Repeat([]byte("a"), 9000))
+	a := m.add("a1", "a", func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/read/early":
+			w.Header().Set("X", "1")
+			w.WriteHeader(http.StatusEarlyHints)
+		case "/read/long":
+			w.Header().Set("X", long)
+		case "/read/parts":
+			c, b, err := http.NewResponseController(w).Hijack()
+			assert.Check(t, err)
+			defer c.Close()
+			for _, part := range []byte("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole") {
+				assert.Check(t, b.WriteByte(part))
+				assert.Check(t, b.Flush())
+			}
+			return
+		}
+		_, err := io.WriteString(w, "whole")
+		assert.Check(t, err)
+	})
+	m.awaitReady()
+	for range 3 {
+		for _, path := range []string{"/read/early", "/read/long", "/read/parts", "/read/plain"} {
+			w := m.do(request(t, a, "GET", "a", path))
+			assert.Equal(t, w.status, 200, "%s: %s", path, w.header)
+			assert.Equal(t, w.body, "whole")
+			assert.Assert(t, path != "/read/long" || w.header.Get("X") == long)
+		}
+	}
+}
--- a/wasabinode/remote.go
+++ b/wasabinode/remote.go
@@ -142,7 +142,7 @@
 		case *wasabistandv1.CallFrame_Answer:
 			n.observeTime(k.Answer.Time)
 			status := int(k.Answer.Status)
-			if headerReceived || status < 200 || status > 999 {
+			if headerReceived || status < 200 || status > 599 {
 				return protocolErrorResult(&result, "answer frame with status %d", status)
 			}
 			headerReceived = true
--- a/wasabinode/upstream.go
+++ b/wasabinode/upstream.go
@@ -19,6 +19,9 @@
 	"github.com/wasabistand/wasabistand/wasabiheader"
 )
 
+// maxResponseHeadBytes bounds the head of an upstream's response.
+const maxResponseHeadBytes = 1 << 20
+
 var chunkPool = sync.Pool{New: func() any { b := make([]byte, chunkBytes); return &b }}
 
 // upstream is the HTTP client for the local upstream.
@@ -36,7 +39,8 @@
 			if err != nil {
 				return nil, err
 			}
-			return &countedConn{Conn: wasabihead.NewConn(c)}, nil
+			head := wasabihead.NewResponseConn(wasabihead.NewConn(c), maxResponseHeadBytes)
+			return &countedConn{Conn: head, head: head}, nil
 		},
 		DisableCompression:  true,
 		MaxConnsPerHost:     connections,
@@ -53,6 +57,7 @@
 // been sent.
 type countedConn struct {
 	net.Conn
+	head   *wasabihead.ResponseConn
 	mu     sync.Mutex
 	writes int
 	sealed bool
@@ -208,6 +213,7 @@
 	tracedCtx := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
 		if c, ok := i.Conn.(*countedConn); ok {
 			conn, writesBefore = c, c.count()
+			c.head.Expect()
 		}
 	}})
 	r, tracked, err := u.newRequest(tracedCtx, a, call)
@@ -222,6 +228,10 @@
 		return u.failedResult(ctx, err, tracked.readErr())
 	}
 	defer response.Body.Close()
+	if conn != nil && !conn.head.Checked() {
+		_ = conn.Close()
+		return u.failedResult(ctx, Error.New("the upstream answered before it got the call"), nil)
+	}
 	if response.StatusCode < 200 {
 		return u.failedResult(ctx, Error.New("the upstream answered with status %d", response.StatusCode), nil)
 	}
