wasabihttp: a request whose head the grammar does not allow gets 400

Callers saw: nothing; an upstream could run a request that no caller sent.

Cause: net/http parses a name with a blank as another field, so that a body that "Content-Length : N" or "Transfer-Encoding : chunked" frames was read as the next request of the connection.

Evidence: TestSmuggledRequestDoesNotRun in wasabihttp failed before (200 in place of 400 for "Content-Length : 35"). The same test in wasabinode held before: the server of net/http checks names itself.

Change: CheckRequest refuses such heads, contradicting lengths and encodings, several hosts and control bytes in values, with 400 and the end of the connection.

--- a/internal/edge/wasabihttp/broken_test.go
+++ b/internal/edge/wasabihttp/broken_test.go
@@ -4,14 +4,18 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/url"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/wasabistand/wasabistand/internal/edge/wasabihttp"
 )
 
 // uploadBytes is more than the socket buffers of both sides hold.
@@ -120,3 +124,36 @@
 		assert.NilError(t, u.Close())
 	}
 }
+
+// Guards against a body that runs as a request of its own, because the field that frames it
+// is not seen: the head is refused and the connection closed.
+func TestSmuggledRequestDoesNotRun(t *testing.T) {
+	const smuggled = "GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n"
+	for _, fields := range []string{
+		fmt.Sprintf("Content-Length : %d", len(smuggled)), fmt.Sprintf("Content-Length\t: %d", len(smuggled)),
+		"Transfer-Encoding : chunked", "Transfer-Encoding: chunked\r\nContent-Length: 5", "X Y: z", "X\x01: z", "X: a\x00b", "X: a\r\n b",
+		"Content-Length: 5\r\nContent-Length: 6", "Content-Length: 5, 5", "Host: other",
+	} {
+		ran := make(chan string, 8)
+		_, address := serve(t, limits, func(_ context.Context, x *wasabihttp.Exchange) {
+			ran <- x.Request.RequestURI
+			_ = x.Respond(200, http.Header{}, nil)
+		})
+		c, r := dial(t, address)
+		_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\n"+fields+"\r\n\r\n"+smuggled)
+		assert.NilError(t, err)
+		a, _ := readResponse(t, r)
+		assert.Equal(t, a.StatusCode, http.StatusBadRequest, "%q", fields)
+		assert.Assert(t, a.Close || strings.EqualFold(a.Header.Get("Connection"), "close"))
+		_, err = r.ReadByte()
+		assert.Equal(t, err, io.EOF, "%q: the connection stays open", fields)
+		assert.Equal(t, len(ran), 0, "%q", fields)
+	}
+	// A request of HTTP/1.0 has no chunks.
+	_, address := serve(t, limits, func(_ context.Context, x *wasabihttp.Exchange) { _ = x.Respond(200, http.Header{}, nil) })
+	c, r := dial(t, address)
+	_, err := io.WriteString(c, "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n"+smuggled)
+	assert.NilError(t, err)
+	a, _ := readResponse(t, r)
+	assert.Equal(t, a.StatusCode, http.StatusBadRequest)
+}
--- a/internal/edge/wasabihttp/conn.go
+++ b/internal/edge/wasabihttp/conn.go
@@ -10,6 +10,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"github.com/wasabistand/wasabistand/internal/edge/wasabihead"
 )
 
 const (
@@ -24,18 +26,14 @@
 	writeTimeout = 20 * time.Second
 )
 
-var (
-	errHeaderTooLarge = Error.New("the headers are larger than allowed")
-	expiredDeadline   = time.Unix(1, 0)
-)
+var expiredDeadline = time.Unix(1, 0)
 
 // conn is a caller's connection. One goroutine reads requests and watches for the
 // caller's disconnect while others respond.
 type conn struct {
 	server *Server
 	raw    net.Conn
-	header headerReader
-	reader *bufio.Reader
+	reader *wasabihead.Reader
 	writer *bufio.Writer
 
 	mu sync.Mutex
@@ -62,29 +60,8 @@
 // maxPipelined bounds the requests of a connection that are served concurrently.
 const maxPipelined = 8
 
-// headerReader bounds the bytes that are read while a header is parsed.
-type headerReader struct {
-	r         io.Reader
-	remaining int
-	active    bool
-}
-
-// Read implements io.Reader.
-func (h *headerReader) Read(p []byte) (int, error) {
-	if !h.active {
-		return h.r.Read(p)
-	}
-	if h.remaining <= 0 {
-		return 0, errHeaderTooLarge
-	}
-	n, err := h.r.Read(p[:min(len(p), h.remaining)])
-	h.remaining -= n
-	return n, err
-}
-
 func newConn(s *Server, raw net.Conn) *conn {
-	c := &conn{server: s, raw: raw, header: headerReader{r: raw}}
-	c.reader = bufio.NewReaderSize(&c.header, readBuffer)
+	c := &conn{server: s, raw: raw, reader: wasabihead.NewReader(raw, readBuffer)}
 	c.writer = bufio.NewWriterSize(&deadlineWriter{raw}, writeBuffer)
 	return c
 }
@@ -255,9 +232,7 @@
 func (c *conn) readRequest(previous *Exchange) *Exchange {
 	l := c.server.limits.Load()
 	_ = c.raw.SetReadDeadline(time.Now().Add(l.HeaderTimeout))
-	c.header.active, c.header.remaining = true, l.MaxHeaderBytes+readBuffer-c.reader.Buffered()
-	r, err := http.ReadRequest(c.reader)
-	c.header.active = false
+	r, err := c.parseRequest(l.MaxHeaderBytes + readBuffer)
 	_ = c.raw.SetReadDeadline(time.Time{})
 	x := &Exchange{conn: c, Request: r, Received: time.Now(), done: make(chan struct{})}
 	if previous != nil {
@@ -265,7 +240,7 @@
 	}
 	switch {
 	case err == nil:
-	case errors.Is(err, errHeaderTooLarge):
+	case errors.Is(err, wasabihead.ErrTooLarge):
 		x.reject(http.StatusRequestHeaderFieldsTooLarge)
 		return nil
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -298,6 +273,18 @@
 	return x
 }
 
+// parseRequest reads the head of a request of at most limit bytes, checks and parses it.
+func (c *conn) parseRequest(limit int) (*http.Request, error) {
+	head, err := c.reader.PeekHead(limit)
+	if err != nil {
+		return nil, err
+	}
+	if err := wasabihead.CheckRequest(head); err != nil {
+		return nil, err
+	}
+	return http.ReadRequest(c.reader.Reader)
+}
+
 func isNetError(err error) bool {
 	var n net.Error
 	return errors.As(err, &n)
--- a/wasabinode/broken_test.go
+++ b/wasabinode/broken_test.go
@@ -1,6 +1,7 @@
 package wasabinode_test
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
@@ -107,3 +108,24 @@
 		}
 	}
 }
+
+// Guards against a body that runs as a request of its own, because the field that frames it
+// is not seen by the server of callers.
+func TestSmuggledRequestDoesNotRun(t *testing.T) {
+	m := newMesh(t)
+	a := m.add("a1", "a", func(http.ResponseWriter, *http.Request) { t.Error("a request ran") })
+	m.awaitReady()
+	const smuggled = "GET /read/x HTTP/1.1\r\nHost: h\r\nWasabi-Service: a\r\nWasabi-Caller: client\r\n\r\n"
+	for _, fields := range []string{fmt.Sprintf("Content-Length : %d", len(smuggled)), "Transfer-Encoding : chunked", "X Y: z"} {
+		c, err := net.Dial("tcp", a.TrafficAddress())
+		assert.NilError(t, err)
+		_, err = io.WriteString(c, "GET /read/x HTTP/1.1\r\nHost: h\r\nWasabi-Service: a\r\nWasabi-Caller: client\r\n"+fields+"\r\n\r\n"+smuggled)
+		assert.NilError(t, err)
+		r, err := http.ReadResponse(bufio.NewReader(c), nil)
+		assert.NilError(t, err)
+		assert.Equal(t, r.StatusCode, http.StatusBadRequest, "%q", fields)
+		assert.Assert(t, r.Close)
+		assert.NilError(t, r.Body.Close())
+		assert.NilError(t, c.Close())
+	}
+}
