wasabihttp: the linter's exception stands where the body is handed over

Cause: the exception for an unclosed body stood at the parser, the finding is at its caller since the head is read by a function of its own. Change: the comment moves.

--- a/internal/edge/wasabihttp/upstream.go
+++ b/internal/edge/wasabihttp/upstream.go
@@ -283,6 +283,7 @@
 // read reads the heads of responses until one that is not informational.
 func (c *Call) read(ctx context.Context, r *http.Request) error {
 	for range maxInformational {
+		//nolint:bodyclose // The body ends with the call, which owns the connection.
 		status, resp, err := c.readHead(r)
 		switch {
 		case err != nil && ctx.Err() != nil:
@@ -309,7 +310,6 @@
 	if status, err = wasabihead.CheckResponse(head); err != nil {
 		return 0, nil, err
 	}
-	//nolint:bodyclose // The body ends with the call, which owns the connection.
 	resp, err = http.ReadResponse(reader.Reader, r)
 	return status, resp, err
 }
