wasabiinstance: reports that are dropped are not acknowledged, and no start is final

Cause: the start of an incarnation, a number from outside, alone decided which one is the newest, for as long as the node ran; and stale reports were acknowledged, also those that said that the instance leaves.

Change: an incarnation that goes on reporting is followed once the tracked one has been silent for two heartbeats. A start beyond the year 9999 is invalid. TestDeregistrationIsFinal demands in addition that a deregistration of another start is refused, and that a report after the deregistration is known as dropped.

--- a/internal/policy/wasabiinstance/instance.go
+++ b/internal/policy/wasabiinstance/instance.go
@@ -15,9 +15,27 @@
 	"github.com/wasabistand/wasabistand/wasabiwire"
 )
 
-// ErrStale is the error class of obsolete reports: from an earlier incarnation, or
-// superseded by a later report.
-var ErrStale = errs.Class("stale report")
+var (
+	// ErrStale is the error class of obsolete reports: from an earlier incarnation, or
+	// superseded by a later report.
+	ErrStale = errs.Class("stale report")
+	// ErrDropped is the class of those stale reports that say something else of the
+	// instance than what is tracked. Their senders must not take them as heeded.
+	ErrDropped = errs.Class("not in force")
+)
+
+const (
+	// supersedeAfter is how long an incarnation is silent before another one that
+	// reports takes its place, although it started earlier: two heartbeats.
+	supersedeAfter = 3 * time.Second
+	// minSupersedeReports is the number of reports that it takes, and
+	// minSupersedeSpread the time between the first and the last of them. Late reports
+	// of an incarnation that has ended come together.
+	minSupersedeReports = 2
+	minSupersedeSpread  = time.Second
+	// maxBorn is the last millisecond of the year 9999.
+	maxBorn = 253_402_300_799_999
+)
 
 // Report is the content of an instance's heartbeat.
 type Report struct {
@@ -74,6 +92,16 @@
 	service string
 	address string
 	state   State
+	other   candidate
+}
+
+// candidate is an incarnation that reports although a later start is tracked. The start
+// is the sender's time of day, which may be set back, or another sender's, which may be
+// any number.
+type candidate struct {
+	report  Report // the latest one
+	reports int
+	since   time.Time // of the first report
 }
 
 // New returns a Tracker for the instance of a service that listens at an address.
@@ -83,42 +111,78 @@
 func (t *Tracker) State() State { return t.state }
 
 // Heartbeat applies a report. The error is of class ErrStale for a superseded
-// report, and of class wasabistand.ErrInvalid for one that doesn't describe the
+// report, also of ErrDropped if it says something else than what is tracked, and of class wasabistand.ErrInvalid for one that doesn't describe the
 // instance.
 func (t *Tracker) Heartbeat(now time.Time, r Report) error {
 	if err := t.validate(r); err != nil {
 		return err
 	}
-	if t.state.Known {
-		switch newer, err := t.startsIncarnation(r); {
-		case err != nil:
-			return err
-		case newer:
-			t.startIncarnation(now, r)
-			return nil
-		}
-		if r.Sequence <= t.state.Sequence {
-			if r.Leaving && !t.state.Leaving {
-				// A drain is final, so that it holds whenever it arrives.
-				t.recordDrain(now)
-				return nil
-			}
-			return ErrStale.New("sequence: %d, report %d was already received", r.Sequence, t.state.Sequence)
-		}
-		if t.state.Leaving && !r.Leaving {
-			return ErrStale.New("instance %q already reported that it is leaving", r.ID)
-		}
-		if r.Leaving {
+	if !t.state.Known {
+		t.startIncarnation(now, r)
+		return nil
+	}
+	switch newer, err := t.startsIncarnation(r); {
+	case ErrDropped.Has(err):
+		return t.recordOther(now, r, err)
+	case err != nil:
+		return err
+	case newer:
+		t.startIncarnation(now, r)
+		return nil
+	}
+	t.other = candidate{}
+	if r.Sequence <= t.state.Sequence {
+		if r.Leaving && !t.state.Leaving {
+			// A drain is final, so that it holds whenever it arrives.
 			t.recordDrain(now)
+			return nil
 		}
-		t.state.Report, t.state.ReportedAt = r, now
-		t.state.coldUntil = now.Add(r.ColdRemaining)
-		return nil
+		return t.staleError(r, "sequence: %d, report %d was already received", r.Sequence, t.state.Sequence)
+	}
+	if t.state.Leaving && !r.Leaving {
+		return t.staleError(r, "instance %q already reported that it is leaving", r.ID)
+	}
+	if r.Leaving {
+		t.recordDrain(now)
+	}
+	t.state.Report, t.state.ReportedAt = r, now
+	t.state.coldUntil = now.Add(r.ColdRemaining)
+	return nil
+}
+
+// staleError returns the error of a superseded report of the tracked incarnation.
+func (t *Tracker) staleError(r Report, format string, args ...any) error {
+	if r.Leaving == t.state.Leaving {
+		return ErrStale.New(format, args...)
+	}
+	return ErrStale.Wrap(ErrDropped.New(format, args...))
+}
+
+// recordOther records a report of an incarnation that started before the tracked one. It
+// takes the place of the tracked one once that is silent and the other goes on reporting.
+// Otherwise recordOther returns refusal.
+func (t *Tracker) recordOther(now time.Time, r Report, refusal error) error {
+	o := &t.other
+	switch {
+	case o.reports == 0 || o.report.ID != r.ID || o.report.Born != r.Born:
+		*o = candidate{report: r, reports: 1, since: now}
+	case r.Sequence > o.report.Sequence:
+		o.report, o.reports = r, o.reports+1
+	default:
+		return refusal
+	}
+	if !t.isSuperseded(now) {
+		return refusal
 	}
 	t.startIncarnation(now, r)
 	return nil
 }
 
+// isSuperseded reports whether the candidate takes the place of the tracked incarnation.
+func (t *Tracker) isSuperseded(now time.Time) bool {
+	return now.Sub(t.state.ReportedAt) >= supersedeAfter && t.other.reports >= minSupersedeReports && now.Sub(t.other.since) >= minSupersedeSpread
+}
+
 // validate checks that a report describes the tracked instance, within the limits
 // that control instances accept. The error is of class wasabistand.ErrInvalid.
 func (t *Tracker) validate(r Report) error {
@@ -129,6 +193,8 @@
 		return wasabistand.ErrInvalid.New("service: %.64q, allowed is %q", r.Service, t.service)
 	case r.Address != t.address:
 		return wasabistand.ErrInvalid.New("address: %.64q, allowed is %q", r.Address, t.address)
+	case r.Born > maxBorn:
+		return wasabistand.ErrInvalid.New("born: %d, allowed are up to %d", r.Born, uint64(maxBorn))
 	case r.Slots < 1 || r.Slots > wasabiwire.MaxSlots:
 		return wasabistand.ErrInvalid.New("slots: %d, allowed are 1 to %d", r.Slots, wasabiwire.MaxSlots)
 	}
@@ -144,7 +210,7 @@
 
 // startsIncarnation reports whether a report is the first of a new incarnation. An
 // instance gives its start in all reports or in none, so that those without one are of
-// another sender if others had it. The error is of class ErrStale for a report of an
+// another sender if others had it. The error is of class ErrDropped for a report of an
 // earlier incarnation, and of class wasabistand.ErrInvalid for one of another sender.
 func (t *Tracker) startsIncarnation(r Report) (bool, error) {
 	s := &t.state
@@ -155,7 +221,7 @@
 		return true, nil
 	case r.Born != 0 && s.Born != 0 && r.Born != s.Born:
 		if r.Born < s.Born {
-			return false, ErrStale.New("born: %d, a newer incarnation started at %d", r.Born, s.Born)
+			return false, ErrStale.Wrap(ErrDropped.New("born: %d, a newer incarnation started at %d", r.Born, s.Born))
 		}
 		return true, nil
 	}
@@ -164,6 +230,7 @@
 
 // startIncarnation replaces the state by that of a new incarnation.
 func (t *Tracker) startIncarnation(now time.Time, r Report) {
+	t.other = candidate{}
 	t.state = State{Report: r, Known: true, Lifetime: t.state.Lifetime + 1, KnownSince: now, ReportedAt: now, coldUntil: now.Add(r.ColdRemaining)}
 	if r.Leaving {
 		t.state.LeavingSince = now
@@ -171,20 +238,28 @@
 }
 
 // Deregister records that an instance deregistered. born is 0 when the instance
-// omitted it. Deregister reports whether the instance is the tracked one.
-func (t *Tracker) Deregister(now time.Time, id string, born uint64) bool {
+// omitted it. The error is of class ErrDropped if the deregistration is of an incarnation
+// whose calls can't be told from those of the tracked one.
+func (t *Tracker) Deregister(now time.Time, id string, born uint64) error {
 	s := &t.state
 	if !s.Known {
 		// Keep the deregistration, so that a late heartbeat does not revoke it.
 		t.state = State{Report: Report{ID: id, Born: born, Leaving: true, Service: t.service, Sequence: ^uint64(0)}, Known: true, Deregistered: true, Lifetime: 1, ReportedAt: now, LeavingSince: now}
-		return true
+		return nil
 	}
-	if s.ID != id || born != 0 && s.Born != 0 && born != s.Born {
-		return false
+	if t.other.report.ID == id && t.other.report.Born == born && t.isSuperseded(now) {
+		t.startIncarnation(now, t.other.report)
+	}
+	switch {
+	case s.ID != id:
+		// No call is addressed to that instance.
+		return nil
+	case born != 0 && s.Born != 0 && born != s.Born:
+		return ErrStale.Wrap(ErrDropped.New("born: %d, another incarnation started at %d", born, s.Born))
 	}
 	t.recordDrain(now)
 	s.Sequence, s.Deregistered = ^uint64(0), true
-	return true
+	return nil
 }
 
 // Confirm records that the instance was asked and accepts calls. A response of another
--- a/internal/policy/wasabiinstance/instance_test.go
+++ b/internal/policy/wasabiinstance/instance_test.go
@@ -59,11 +59,14 @@
 	assert.NilError(t, tracker.Heartbeat(now, r))
 	tracker.Confirm(tracker.State().Lifetime)
 	assert.Assert(t, tracker.State().AcceptsCalls())
-	assert.Assert(t, !tracker.Deregister(now, "other", 0))
+	assert.NilError(t, tracker.Deregister(now, "other", 0))
 	assert.Assert(t, tracker.State().AcceptsCalls())
-	assert.Assert(t, tracker.Deregister(now, "i", 0))
+	assert.Assert(t, wasabiinstance.ErrDropped.Has(tracker.Deregister(now, "i", 4)))
+	assert.Assert(t, tracker.State().AcceptsCalls())
+	assert.NilError(t, tracker.Deregister(now, "i", 0))
 	r.Sequence = 9
-	assert.Assert(t, wasabiinstance.ErrStale.Has(tracker.Heartbeat(now, r)))
+	err := tracker.Heartbeat(now, r)
+	assert.Assert(t, wasabiinstance.ErrStale.Has(err) && wasabiinstance.ErrDropped.Has(err), "it is not ready any more")
 	assert.Assert(t, !tracker.State().AcceptsCalls())
 	r.Born, r.Sequence = 6, 1
 	assert.NilError(t, tracker.Heartbeat(now, r))
@@ -140,3 +143,118 @@
 	}
 	assert.Assert(t, !tracker.State().Known)
 }
+
+// lifetime is an incarnation of an instance in a test.
+type lifetime struct {
+	id       string
+	born     uint64
+	sequence uint64
+}
+
+// report returns the lifetime's next report.
+func (l *lifetime) report(leaving bool) wasabiinstance.Report {
+	l.sequence++
+	return wasabiinstance.Report{ID: l.id, Born: l.born, Sequence: l.sequence, Service: "s", Address: "10.0.0.1:80", Slots: 3, Leaving: leaving}
+}
+
+// Guards against a drain that is acknowledged and not heeded, because one odd report with
+// a start in the future has taken the place of the true incarnation for good.
+func TestOddStartHidesNoDrain(t *testing.T) {
+	for _, odd := range []*lifetime{{id: "i", born: 1 << 63}, {id: "i", born: 253_402_300_799_999}, {id: "j", born: 6000}} {
+		now := time.Unix(1, 0)
+		tracker := wasabiinstance.New("s", "10.0.0.1:80")
+		own := &lifetime{id: "i", born: 5000}
+		assert.NilError(t, tracker.Heartbeat(now, own.report(false)))
+		_ = tracker.Heartbeat(now, odd.report(false))
+		for range 4 {
+			now = now.Add(1500 * time.Millisecond)
+			if err := tracker.Heartbeat(now, own.report(false)); err != nil {
+				assert.Assert(t, wasabiinstance.ErrDropped.Has(err), "%v", err)
+			}
+		}
+		assert.Equal(t, tracker.State().Born, own.born)
+		tracker.Confirm(tracker.State().Lifetime)
+		assert.Assert(t, tracker.State().AcceptsCalls())
+		assert.NilError(t, tracker.Heartbeat(now, own.report(true)))
+		assert.Assert(t, tracker.State().Leaving)
+	}
+}
+
+// Guards against a drain that is acknowledged and not heeded, because the clock was set
+// back before the instance started again under its ID.
+func TestEarlierStartAfterClockStepIsFollowed(t *testing.T) {
+	for _, leave := range []string{"drain", "deregistration", "drain at once"} {
+		now := time.Unix(1, 0)
+		tracker := wasabiinstance.New("s", "10.0.0.1:80")
+		before, after := &lifetime{id: "i", born: 5000}, &lifetime{id: "i", born: 2600}
+		assert.NilError(t, tracker.Heartbeat(now, before.report(false)))
+		leaving := leave == "drain at once"
+		acknowledged := false
+		for step := range 6 {
+			if step > 0 {
+				now = now.Add(time.Second)
+			}
+			err := tracker.Heartbeat(now, after.report(leaving))
+			acknowledged = acknowledged || err == nil
+			assert.Assert(t, err == nil || wasabiinstance.ErrDropped.Has(err), "%v", err)
+			assert.Assert(t, !acknowledged || tracker.State().Leaving == leaving, "acknowledged and not in force")
+		}
+		assert.Assert(t, acknowledged, "%s: not followed after 5 s", leave)
+		assert.Equal(t, tracker.State().Born, after.born)
+		switch leave {
+		case "drain":
+			assert.NilError(t, tracker.Heartbeat(now, after.report(true)))
+		case "deregistration":
+			assert.NilError(t, tracker.Deregister(now, "i", after.born))
+		}
+		assert.Assert(t, tracker.State().Leaving)
+		// What the incarnation before still sends changes nothing.
+		before.sequence = 90
+		assert.NilError(t, tracker.Deregister(now, "h", 1))
+		assert.Assert(t, tracker.State().Leaving)
+	}
+}
+
+// Guards against a deregistration that is acknowledged and not heeded, because the instance
+// deregisters before it has been followed.
+func TestDeregistrationOfOtherStartIsNotAcknowledged(t *testing.T) {
+	now := time.Unix(1, 0)
+	tracker := wasabiinstance.New("s", "10.0.0.1:80")
+	before, after := &lifetime{id: "i", born: 5000}, &lifetime{id: "i", born: 2600}
+	assert.NilError(t, tracker.Heartbeat(now, before.report(false)))
+	now = now.Add(time.Second)
+	assert.Assert(t, wasabiinstance.ErrDropped.Has(tracker.Heartbeat(now, after.report(false))))
+	assert.Assert(t, wasabiinstance.ErrDropped.Has(tracker.Deregister(now, "i", after.born)))
+	assert.Assert(t, !tracker.State().Leaving)
+	now = now.Add(1500 * time.Millisecond)
+	assert.Assert(t, wasabiinstance.ErrDropped.Has(tracker.Heartbeat(now, after.report(false))))
+	// The other incarnation has been silent for two heartbeats now.
+	now = now.Add(time.Second)
+	assert.NilError(t, tracker.Deregister(now, "i", after.born))
+	assert.Equal(t, tracker.State().Born, after.born)
+	assert.Assert(t, tracker.State().Leaving)
+}
+
+// Guards against an incarnation that has ended and takes the place of the running one,
+// because its reports arrive late: one by one beside those of the running one, or together
+// after it was silent for a while.
+func TestLateReportsOfEarlierIncarnationChangeNothing(t *testing.T) {
+	now := time.Unix(1, 0)
+	tracker := wasabiinstance.New("s", "10.0.0.1:80")
+	ended, running := &lifetime{id: "i", born: 5000}, &lifetime{id: "i", born: 6000}
+	assert.NilError(t, tracker.Heartbeat(now, ended.report(false)))
+	assert.NilError(t, tracker.Heartbeat(now, running.report(false)))
+	for range 20 {
+		now = now.Add(1500 * time.Millisecond)
+		assert.Assert(t, wasabiinstance.ErrDropped.Has(tracker.Heartbeat(now, ended.report(false))))
+		assert.NilError(t, tracker.Heartbeat(now, running.report(false)))
+	}
+	now = now.Add(10 * time.Second)
+	for range 5 {
+		assert.Assert(t, wasabiinstance.ErrDropped.Has(tracker.Heartbeat(now, ended.report(false))))
+		now = now.Add(100 * time.Millisecond)
+	}
+	assert.NilError(t, tracker.Heartbeat(now, running.report(false)))
+	assert.Equal(t, tracker.State().Born, running.born)
+	assert.Equal(t, tracker.State().Lifetime, 2)
+}
--- a/internal/traffic/wasabigateway/gateway.go
+++ b/internal/traffic/wasabigateway/gateway.go
@@ -222,15 +222,17 @@
 
 // Heartbeat records a report of the instance. The error is of class
 // wasabistand.ErrInvalid for a report that doesn't describe the instance, and of
-// wasabiinstance.ErrStale for a superseded one.
+// wasabiinstance.ErrStale for a superseded one, also of wasabiinstance.ErrDropped if it
+// says something else than what is in force.
 func (g *Gateway) Heartbeat(r wasabiinstance.Report) error { return g.local.heartbeat(r) }
 
 // Load returns the load of the local instance.
 func (g *Gateway) Load() wasabistand.Load { return g.queue.load() }
 
 // Deregister records that the instance deregistered. born is 0 when the instance
-// omitted it.
-func (g *Gateway) Deregister(id string, born uint64) { g.local.deregister(id, born) }
+// omitted it. The error is of class wasabiinstance.ErrDropped if the gateway tracks
+// another incarnation of it.
+func (g *Gateway) Deregister(id string, born uint64) error { return g.local.deregister(id, born) }
 
 const (
 	// idlePollInterval is the interval at which a stopping gateway checks whether all
--- a/internal/traffic/wasabigateway/local.go
+++ b/internal/traffic/wasabigateway/local.go
@@ -122,14 +122,15 @@
 }
 
 // deregister records that the instance leaves for good.
-func (o *localInstance) deregister(id string, born uint64) {
+func (o *localInstance) deregister(id string, born uint64) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.gateway.now()
 	before := o.tracker.State()
-	known := o.tracker.Deregister(now, id, born)
-	o.log.Info().Str("Instance", id).Uint64("Born", born).Bool("Known", known).Msg("instance deregisters")
+	err := o.tracker.Deregister(now, id, born)
+	o.log.Info().Str("Instance", id).Uint64("Born", born).AnErr("Error", err).Msg("instance deregisters")
 	o.handleChange(now, before)
+	return err
 }
 
 // handleChange acts on a change of the instance's state. The mutex must be held.
