wasabicontrol: the test of Status waits until the leader has heard of both instances

Cause: TestChangesReachNodes demanded at once that Status lists an instance that had announced itself to another control instance than the leader.

Change: the test asks until both are listed, as strict otherwise.

--- a/wasabicontrol/control_test.go
+++ b/wasabicontrol/control_test.go
@@ -42,11 +42,17 @@
 	second.await(t, "own drain", func(v *wasabistand.View) bool { return v.Drained })
 	assert.Equal(t, len(second.View().Instances), 0)
 
-	status, err := c.operator("control-2", readToken).Status(t.Context(), connect.NewRequest(&wasabistandv1.StatusRequest{}))
-	assert.NilError(t, err)
-	assert.Equal(t, status.Msg.GetRevision(), revision+1)
-	assert.Equal(t, len(status.Msg.GetInstances()), 2)
-	assert.Equal(t, len(status.Msg.GetGroups()[0].GetMembers()), 3)
+	// The leader learns of instances that announce themselves elsewhere after the nodes do.
+	for deadline := time.Now().Add(waitTimeout); ; {
+		status, err := c.operator("control-2", readToken).Status(t.Context(), connect.NewRequest(&wasabistandv1.StatusRequest{}))
+		assert.NilError(t, err)
+		assert.Equal(t, status.Msg.GetRevision(), revision+1)
+		assert.Equal(t, len(status.Msg.GetGroups()[0].GetMembers()), 3)
+		if len(status.Msg.GetInstances()) == 2 {
+			break
+		}
+		assert.Assert(t, time.Now().Before(deadline), "%v", status.Msg.GetInstances())
+	}
 
 	second.Announce(instance("archive-1", "archive", 1).WithState(wasabistand.Leaving), false)
 	first.await(t, "leaving", func(v *wasabistand.View) bool {
