wasabicontrol: a send to a member that does not read ends

Cause: the sender of a group's messages waited in yamux for the window of its stream, without a bound, and Close waited for it: links close after groups. As long as the link stays alive, the member gets no message of the group any more either.

Change: a send has 5 s, after which the stream is replaced, and ends with the transport.

--- a/wasabicontrol/group.go
+++ b/wasabicontrol/group.go
@@ -135,6 +135,9 @@
 	maxFrameMessages  = 256
 	maxFrameBytes     = 1 << 20
 	groupDialTimeout  = time.Second
+	// groupSendTimeout bounds the sending of one frame. It is longer than the silence
+	// that ends a link: a stream whose peer reads no more is replaced.
+	groupSendTimeout = 5 * time.Second
 )
 
 func newTransport(cluster, group string, p *wasabilink.Pool, sent *sentBytes) *transport {
@@ -166,12 +169,8 @@
 }
 
 func (t *transport) runSender(s *sender) {
-	var stream *wasabilink.Stream
-	defer func() {
-		if stream != nil {
-			_ = stream.Close()
-		}
-	}()
+	var stream *groupStream
+	defer func() { stream.close() }()
 	for {
 		f := &wasabistandv1.GroupFrame{Group: t.group, Cluster: t.cluster}
 		select {
@@ -191,7 +190,7 @@
 			}
 		}
 		if stream != nil && !stream.Link().Usable() {
-			_ = stream.Close()
+			stream.close()
 			stream = nil
 		}
 		if stream == nil {
@@ -200,8 +199,8 @@
 		if stream == nil {
 			continue
 		}
-		if stream.Send(f) != nil {
-			_ = stream.Close()
+		if stream.send(f) != nil {
+			stream.close()
 			stream = nil
 			continue
 		}
@@ -209,7 +208,7 @@
 	}
 }
 
-func (t *transport) openStream(address string) *wasabilink.Stream {
+func (t *transport) openStream(address string) *groupStream {
 	ctx, cancel := context.WithTimeout(t.ctx, groupDialTimeout)
 	defer cancel()
 	link, err := t.pool.Get(ctx, address)
@@ -220,7 +219,37 @@
 	if err != nil {
 		return nil
 	}
-	return stream
+	out := &groupStream{Stream: stream}
+	// A send that waits for the peer ends with the transport.
+	out.stop = context.AfterFunc(t.ctx, out.abort)
+	return out
+}
+
+// groupStream is a stream to one member. Sends are bounded in time.
+type groupStream struct {
+	*wasabilink.Stream
+	stop func() bool
+}
+
+func (g *groupStream) send(f *wasabistandv1.GroupFrame) error {
+	if err := g.SetDeadline(time.Now().Add(groupSendTimeout)); err != nil {
+		return err
+	}
+	return g.Send(f)
+}
+
+// abort ends a pending send and closes the stream.
+func (g *groupStream) abort() {
+	_ = g.SetDeadline(time.Now())
+	_ = g.Close()
+}
+
+// close closes the stream. A nil stream is closed already.
+func (g *groupStream) close() {
+	if g != nil {
+		g.stop()
+		g.abort()
+	}
 }
 
 func (t *transport) close() {
