wasabiform: a member's storage and log are no longer part of the planner's view

Change: the fields go, in the tests too; no decision changes. Result (x86-64): the tests of the planner and of replacements pass.

--- a/internal/policy/wasabiform/form.go
+++ b/internal/policy/wasabiform/form.go
@@ -12,10 +12,6 @@
 type Member struct {
 	ID    string
 	Voter bool
-	// StorageKnown is set when the member's storage is registered with the group.
-	StorageKnown bool
-	// CaughtUp is set when the member's log reaches the commit index.
-	CaughtUp bool
 	// LastContact is the time of the member's last response.
 	LastContact time.Time
 	// Led is set for the member that led before. Its LastContact was observed before
--- a/internal/policy/wasabiform/form_test.go
+++ b/internal/policy/wasabiform/form_test.go
@@ -17,7 +17,7 @@
 }
 
 func member(id string, voter bool, lastContact time.Time) wasabiform.Member {
-	return wasabiform.Member{ID: id, Voter: voter, StorageKnown: true, CaughtUp: true, LastContact: lastContact}
+	return wasabiform.Member{ID: id, Voter: voter, LastContact: lastContact}
 }
 
 // Guards against removing a voter before another has taken its place, for a silence
@@ -126,7 +126,6 @@
 	}
 	assert.Assert(t, !p.HasRoom(list))
 	list[7].LastContact = time.Time{}
-	list[7].StorageKnown = false
 	assert.Equal(t, p.Remove(now, "0", list), "7")
 	assert.Equal(t, p.Remove(now, "0", list[:8]), "")
 	assert.Assert(t, p.HasRoom(list[:8]))
--- a/wasabicontrol/join.go
+++ b/wasabicontrol/join.go
@@ -134,7 +134,7 @@
 func plannerMembers(s wasabiraft.Status) []wasabiform.Member {
 	list := make([]wasabiform.Member, 0, len(s.Members))
 	for _, m := range s.Members {
-		list = append(list, wasabiform.Member{ID: m.ID, Voter: m.Voter, StorageKnown: m.Storage != "", CaughtUp: m.Match >= s.Commit, LastContact: m.LastContact, Led: m.Led})
+		list = append(list, wasabiform.Member{ID: m.ID, Voter: m.Voter, LastContact: m.LastContact, Led: m.Led})
 	}
 	return list
 }
--- a/wasabiraft/replacement_test.go
+++ b/wasabiraft/replacement_test.go
@@ -125,7 +125,7 @@
 // observe returns the members as the planner of a leader sees them.
 func (p *replacement) observe(planner *wasabiform.Planner, s wasabiraft.Status) (list []wasabiform.Member) {
 	for _, m := range s.Members {
-		x := wasabiform.Member{ID: m.ID, Voter: m.Voter, StorageKnown: m.Storage != "", CaughtUp: m.Match >= s.Commit, LastContact: m.LastContact, Led: m.Led}
+		x := wasabiform.Member{ID: m.ID, Voter: m.Voter, LastContact: m.LastContact, Led: m.Led}
 		if at, ok := p.leaving[m.ID]; ok && p.now.Sub(at) < time.Second {
 			x.Leaving = true
 		}
