wasabigateway: a health check before the configuration counts if it names the path

Callers saw: after a loss of power of all machines, requests were served later than before the health path was read for each check.

Cause: a node asked its upstream only once it had the configuration, so that its instance was announced a round trip to it and a push of lists later.

TestEarlyHealthCheckCounts fails before.

Change: the node asks at the default path meanwhile, again and again. A success that is recent counts once the configuration names that path; at another path it counts for nothing (TestResponseAtOtherPathBringsNoWork), and a change of the path wakes the check.

--- a/internal/traffic/wasabigateway/local.go
+++ b/internal/traffic/wasabigateway/local.go
@@ -22,6 +22,9 @@
 	probeTimeout  = 500 * time.Millisecond
 	minProbePause = 300 * time.Millisecond
 	maxProbePause = time.Second
+	// earlyConfirmationTime is how long a health check counts that succeeded before the
+	// configuration came. It is repeated meanwhile.
+	earlyConfirmationTime = maxProbePause + probeTimeout
 	// probeLogInterval is how often a health check that fails in the same way as the one
 	// before is logged.
 	probeLogInterval = 10 * time.Second
@@ -56,6 +59,14 @@
 	}
 }
 
+// earlyConfirmation is a health check that succeeded before the node had a
+// configuration. It counts if the configuration names the path that was asked.
+type earlyConfirmation struct {
+	lifetime int
+	path     string
+	at       time.Time
+}
+
 // localInstance tracks the instance next to this node.
 type localInstance struct {
 	gateway *Gateway
@@ -65,6 +76,8 @@
 	tracker          *wasabiinstance.Tracker
 	lease            *lease
 	probing          int // the lifetime being probed, 0 for none
+	early            earlyConfirmation
+	reprobe          chan struct{} // signals a change of the health path
 	revokeTimer      *time.Timer
 	stopping         bool
 	unreachableSince time.Time // when the instance became unreachable, zero if it is reachable
@@ -75,7 +88,7 @@
 }
 
 func newLocalInstance(g *Gateway, log zerolog.Logger) *localInstance {
-	return &localInstance{gateway: g, log: log, tracker: wasabiinstance.New(g.settings.service, g.settings.upstream), maxConns: defaultMaxConnections}
+	return &localInstance{gateway: g, log: log, tracker: wasabiinstance.New(g.settings.service, g.settings.upstream), maxConns: defaultMaxConnections, reprobe: make(chan struct{}, 1)}
 }
 
 // currentLease returns the lease under which a call may be sent to the instance.
@@ -142,7 +155,7 @@
 	if s.Leaving && !before.Leaving || s.Leaving && s.Lifetime != before.Lifetime {
 		o.scheduleRevocation(s)
 	}
-	if s.NeedsConfirmation() && o.probing != s.Lifetime && o.healthPath != "" {
+	if s.NeedsConfirmation() && o.probing != s.Lifetime {
 		o.probing = s.Lifetime
 		l := o.lease
 		o.gateway.background(func() { o.probe(l) })
@@ -205,17 +218,18 @@
 			return
 		}
 		err := o.checkHealth(l, path)
-		if err == nil {
-			o.confirm(l)
+		if err == nil && o.confirm(l, path) {
 			return
 		}
-		if now := o.gateway.now(); err.Error() != logged || now.Sub(loggedAt) >= probeLogInterval {
+		if now := o.gateway.now(); err != nil && (err.Error() != logged || now.Sub(loggedAt) >= probeLogInterval) {
 			logged, loggedAt = err.Error(), now
 			o.log.Info().Str("Instance", l.id).Str("Path", path).Dur("Unconfirmed", o.unconfirmedFor()).Err(err).Msg("instance does not confirm that it accepts calls")
 		}
 		t := time.NewTimer(pause)
 		select {
 		case <-t.C:
+		case <-o.reprobe:
+			t.Stop()
 		case <-o.gateway.ctx.Done():
 			t.Stop()
 		}
@@ -223,21 +237,44 @@
 }
 
 // nextProbe returns the path of the next health check, and whether the incarnation of a
-// lease has yet to be asked with success.
+// lease has yet to be asked with success. Before the node has a configuration, that is
+// the default path.
 func (o *localInstance) nextProbe(l *lease) (path string, ok bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.healthPath, o.gateway.ctx.Err() == nil && o.lease == l && o.tracker.State().NeedsConfirmation()
+	return cmp.Or(o.healthPath, defaultHealthPath), o.gateway.ctx.Err() == nil && o.lease == l && o.tracker.State().NeedsConfirmation()
 }
 
-// confirm records that the incarnation of a lease accepts calls.
-func (o *localInstance) confirm(l *lease) {
+// confirm records that the incarnation of a lease accepted calls when it was asked at a
+// path. It returns false if that doesn't count, because the configuration names another
+// path or is not known yet.
+func (o *localInstance) confirm(l *lease, path string) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	now := o.gateway.now()
+	if o.healthPath == "" {
+		o.early = earlyConfirmation{lifetime: l.lifetime, path: path, at: now}
+		return false
+	}
+	if path != o.healthPath {
+		return false
+	}
 	before := o.tracker.State()
 	o.tracker.Confirm(l.lifetime)
 	o.log.Info().Str("Instance", l.id).Msg("instance confirmed that it accepts calls")
-	o.handleChange(o.gateway.now(), before)
+	o.handleChange(now, before)
+	return true
+}
+
+// applyEarly counts a health check that succeeded before the configuration came, if it is
+// recent and was made at the path that the configuration names. The mutex must be held.
+func (o *localInstance) applyEarly(now time.Time) {
+	e := o.early
+	o.early = earlyConfirmation{}
+	if e.path == o.healthPath && now.Sub(e.at) <= earlyConfirmationTime {
+		o.tracker.Confirm(e.lifetime)
+		o.log.Info().Int("Lifetime", e.lifetime).Msg("instance confirmed that it accepts calls before the configuration came")
+	}
 }
 
 // unconfirmedFor returns for how long the instance has been known without accepting
@@ -287,13 +324,25 @@
 func (o *localInstance) configure(c wasabistand.UpstreamPolicy) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.healthPath = cmp.Or(c.HealthPath, defaultHealthPath)
+	now, before := o.gateway.now(), o.tracker.State()
+	if path := cmp.Or(c.HealthPath, defaultHealthPath); path != o.healthPath {
+		o.healthPath = path
+		o.applyEarly(now)
+		signalProbe(o.reprobe)
+	}
 	o.maxConns = cmp.Or(c.MaxConnections, defaultMaxConnections)
 	if o.lease != nil {
 		o.lease.upstream.SetMaxConnections(o.maxConns)
 	}
-	// An instance that reported before the configuration came is asked now.
-	o.handleChange(o.gateway.now(), o.tracker.State())
+	o.handleChange(now, before)
+}
+
+// signalProbe wakes the health checks without blocking.
+func signalProbe(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
 }
 
 // stop announces that the node leaves.
