--- a/internal/policy/wasabiinstance/instance.go
+++ b/internal/policy/wasabiinstance/instance.go
@@ -110,9 +110,9 @@
 // State returns the current state.
 func (t *Tracker) State() State { return t.state }
 
-// Heartbeat applies a report. The error is of class ErrStale for a superseded
-// report, also of ErrDropped if it says something else than what is tracked, and of class wasabistand.ErrInvalid for one that doesn't describe the
-// instance.
+// Heartbeat applies a report. The error is of class ErrStale for a superseded report, also
+// of ErrDropped if it says something else than what is tracked, and of class
+// wasabistand.ErrInvalid for one that doesn't describe the instance.
 func (t *Tracker) Heartbeat(now time.Time, r Report) error {
 	if err := t.validate(r); err != nil {
 		return err
