Let removed control instances return with their disks before they count as back

Two lost disks then left two of five voters. The choice goes by the longest silence, although the other process had ended; no evidence makes it certain, so the return has to be fast whoever was chosen. An oracle test found a third cause: a returning member was promoted beside another silent voter, which raised the majority. A silent voter is removed before a promotion would raise the majority, and one whose process has ended before one that is only silent. No disk is emptied any more, so Removed, ErrRemoved and the supervisor's Empty are gone. A gauge and log lines show each return. TestSafety returns and swaps disks. Conclusion: whatever counts as back votes.

--- a/internal/policy/wasabiform/form.go
+++ b/internal/policy/wasabiform/form.go
@@ -10,8 +10,11 @@
 
 // Member is the leader's view of one member.
 type Member struct {
-	ID    string
-	Voter bool
+	ID string
+	// Storage is the identity of the disk that is accepted for the member, empty until
+	// it is recorded.
+	Storage string
+	Voter   bool
 	// LastContact is the time of the member's last response.
 	LastContact time.Time
 	// Led is set for the member that led before. Its LastContact was observed before
@@ -19,6 +22,8 @@
 	Led bool
 	// Leaving is set when the member asked to be replaced, since its process stops.
 	Leaving bool
+	// CaughtUpAt is when the member last had all that is committed, zero for never.
+	CaughtUpAt time.Time
 	// Reachable is set when the member's process responds, even if its log does
 	// not because its disk stalls.
 	Reachable bool
@@ -47,7 +52,7 @@
 		// Several heartbeats. The process has ended, but may be started again.
 		removeRefusedAfter: 500 * time.Millisecond,
 		// An election timeout. A member that was only cut off or suspended returns
-		// with an empty disk.
+		// as a learner.
 		removeSilentAfter: time.Second,
 		// A slow disk recovers with its data, so its member is replaced only
 		// after several times as long.
@@ -129,6 +134,37 @@
 // HasRoom reports whether a group of these members has room for one more.
 func (p *Planner) HasRoom(list []Member) bool { return len(list) < p.options.maxMembers }
 
+// Admission is the decision on an instance that asks to be a member.
+type Admission int
+
+// The admissions.
+const (
+	// Listed means that the instance is a member, and Full that there is no room for it.
+	Listed Admission = iota
+	Full
+	// Add means that the instance's disk is added as a learner.
+	Add
+)
+
+// Admit decides on an instance that asks to be a member. established reports whether
+// its disk was a member before; an empty disk under a listed name is admitted by the
+// replicated log.
+func (p *Planner) Admit(list []Member, id, storage string, established bool) Admission {
+	for _, m := range list {
+		if m.ID != id {
+			continue
+		}
+		if !established || m.Storage == storage || m.Storage == "" && m.Voter {
+			return Listed
+		}
+		return Add
+	}
+	if !p.HasRoom(list) {
+		return Full
+	}
+	return Add
+}
+
 // CanLeave reports whether the group can do without one of its voters: it has more than
 // its target, or a learner may become one.
 func (p *Planner) CanLeave(now time.Time, self string, list []Member) bool {
@@ -146,8 +182,10 @@
 
 // Remove returns the ID of the member to remove, empty for none. A voter that is silent
 // or leaves is removed when the group has more voters than its target, so that another
-// has already taken its place, and most voters respond. A silent learner is removed when
-// the group is full. Members are removed one at a time.
+// has already taken its place, and most voters respond. At the target, a silent one is
+// removed when a learner can take its place at once: a promotion before the removal
+// would raise the majority. A silent learner is removed when the group is full. Members
+// are removed one at a time.
 func (p *Planner) Remove(now time.Time, self string, list []Member) string {
 	if p.leadingSince.IsZero() {
 		return ""
@@ -161,24 +199,42 @@
 			}
 		}
 	}
-	if found := p.findReplaceable(now, self, list); found != nil && voters > p.options.targetVoters && responding > voters/2 {
-		return found.ID
+	if found := p.findReplaceable(now, self, list); found != nil && responding > voters/2 {
+		swap := voters == p.options.targetVoters && p.isSilent(now, *found, self) && p.hasReadyLearner(now, self, list)
+		if voters > p.options.targetVoters || swap {
+			return found.ID
+		}
 	}
 	return p.findSilentLearner(now, self, list)
 }
 
-// findReplaceable returns the voter to remove, nil for none: one that is silent before
-// one that leaves, which still responds, and that before one whose disk stalls; among
-// silent ones the one that has been silent for longest.
+// hasReadyLearner reports whether a learner that stays has caught up and responds.
+func (p *Planner) hasReadyLearner(now time.Time, self string, list []Member) bool {
+	for _, m := range list {
+		if !m.Voter && !m.Leaving && p.silence(now, m, self) < p.options.removeRefusedAfter && now.Sub(m.CaughtUpAt) < p.options.removeRefusedAfter {
+			return true
+		}
+	}
+	return false
+}
+
+// findReplaceable returns the voter to remove, nil for none: one whose process has ended
+// before one that is only silent, that before one that leaves, which still responds, and
+// that before one whose disk stalls; among equal ones the one that has been silent for
+// longest. No evidence is certain, so a member that is removed and comes back must be
+// a voter again before it no longer counts as lost.
 func (p *Planner) findReplaceable(now time.Time, self string, list []Member) *Member {
+	const ended, silent, leaving, stalled = 0, 1, 2, 3
 	rank := func(m *Member) int {
 		switch {
 		case m.Leaving && !p.isSilent(now, *m, self):
-			return 1
+			return leaving
 		case m.Reachable:
-			return 2
+			return stalled
+		case m.Refused:
+			return ended
 		}
-		return 0
+		return silent
 	}
 	var found *Member
 	for i := range list {
--- a/internal/policy/wasabiform/form_test.go
+++ b/internal/policy/wasabiform/form_test.go
@@ -115,6 +115,65 @@
 	assert.Equal(t, p.Remove(now, "0", list), "1", "the disk does not recover")
 }
 
+// Guards against removing a member that stands still in place of one whose process has
+// ended.
+func TestEndedProcessIsRemovedBeforeSilentOne(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := wasabiform.New(wasabiform.NewOptions(1))
+	p.SetLeading(now.Add(-time.Minute), true)
+	list := []wasabiform.Member{member("0", true, now), member("1", true, now.Add(-4*time.Second)), member("2", true, now.Add(-2*time.Second)), member("3", true, now), member("4", true, now)}
+	assert.Equal(t, p.Remove(now, "0", list), "1")
+	list[2].Refused = true
+	assert.Equal(t, p.Remove(now, "0", list), "2")
+	list[1].Refused = true
+	assert.Equal(t, p.Remove(now, "0", list), "1")
+}
+
+// Guards against a group that promotes a member beside a silent one, so that it needs the
+// votes of both, and against one that shrinks without a member to take the place.
+func TestSilentVoterMakesRoomForReadyLearner(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := wasabiform.New(wasabiform.NewOptions(1))
+	p.SetLeading(now.Add(-time.Minute), true)
+	list := []wasabiform.Member{member("0", true, now), member("1", true, now), member("2", true, now.Add(-2*time.Second)), member("3", false, now)}
+	assert.Equal(t, p.Remove(now, "0", list), "", "the learner has not caught up")
+	list[3].CaughtUpAt = now
+	assert.Equal(t, p.Remove(now, "0", list), "2")
+	assert.Equal(t, p.Remove(now, "0", list[1:]), "", "below the target")
+	list[3].Leaving = true
+	assert.Equal(t, p.Remove(now, "0", list), "", "the learner leaves")
+	list[3].Leaving, list[3].LastContact = false, now.Add(-2*time.Second)
+	assert.Equal(t, p.Remove(now, "0", list), "", "the learner is silent")
+	list[2].LastContact, list[2].Leaving, list[3].LastContact = now, true, now
+	assert.Equal(t, p.Remove(now, "0", list), "", "it leaves and responds")
+}
+
+// Guards against a returning disk that is refused or listed twice, and against one that
+// takes the place of a disk under the same name without being asked for.
+func TestAdmit(t *testing.T) {
+	p := wasabiform.New(wasabiform.NewOptions(2))
+	list := []wasabiform.Member{{ID: "1", Storage: "a", Voter: true}, {ID: "2", Voter: true}, {ID: "3"}}
+	for _, test := range []struct {
+		id, storage string
+		established bool
+		want        wasabiform.Admission
+	}{
+		{"1", "a", true, wasabiform.Listed},
+		{"1", "b", false, wasabiform.Listed},
+		{"1", "b", true, wasabiform.Add},
+		{"2", "b", true, wasabiform.Listed},
+		{"3", "b", true, wasabiform.Add},
+		{"4", "b", true, wasabiform.Add},
+		{"4", "b", false, wasabiform.Add},
+	} {
+		assert.Equal(t, p.Admit(list, test.id, test.storage, test.established), test.want, "%+v", test)
+	}
+	for len(list) < 9 {
+		list = append(list, wasabiform.Member{ID: fmt.Sprint(len(list) + 1)})
+	}
+	assert.Equal(t, p.Admit(list, "10", "a", true), wasabiform.Full)
+}
+
 // Guards against silent learners that keep the group full permanently.
 func TestSilentLearnerIsRemovedFromFullGroup(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/internal/process/wasabimesh/control.go
+++ b/internal/process/wasabimesh/control.go
@@ -5,8 +5,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"os"
-	"path/filepath"
 	"sync"
 	"time"
 
@@ -85,9 +83,7 @@
 // the HTTP handler for operators.
 func NewControl(s ControlSettings, log zerolog.Logger, handler func(*ControlDaemon) http.Handler) *ControlDaemon {
 	c := &ControlDaemon{settings: s, log: log, handler: handler}
-	c.supervisor = wasabicontrol.NewSupervisor(wasabicontrol.SupervisorConfig{
-		Open: c.open, Empty: func() error { return removeContents(s.Folder) }, Log: log,
-	})
+	c.supervisor = wasabicontrol.NewSupervisor(wasabicontrol.SupervisorConfig{Open: c.open, Log: log})
 	return c
 }
 
@@ -143,19 +139,6 @@
 	return i, nil
 }
 
-// removeContents removes everything in a folder.
-func removeContents(folder string) error {
-	list, err := os.ReadDir(folder)
-	if err != nil {
-		return err
-	}
-	var failed []error
-	for _, e := range list {
-		failed = append(failed, os.RemoveAll(filepath.Join(folder, e.Name())))
-	}
-	return errors.Join(failed...)
-}
-
 // Shutdown implements wasabiprocess.Daemon.
 func (c *ControlDaemon) Shutdown(ctx context.Context) error {
 	// The supervision ends first, so that no instance is opened meanwhile.
--- a/wasabicontrol/group.go
+++ b/wasabicontrol/group.go
@@ -50,7 +50,8 @@
 	}
 	raft.MaxCommandBytes = maxCommandBytes
 	if s.maxDiskLosses > 0 {
-		raft.MaxVoters = wasabiform.NewOptions(s.maxDiskLosses).MaxVoters()
+		o := wasabiform.NewOptions(s.maxDiskLosses)
+		raft = raft.WithMaxVoters(o.MaxVoters()).WithTargetVoters(o.Voters())
 	}
 	out.runner, err = wasabiraft.Start(wasabiraft.RunnerConfig{
 		Self:     wasabiraft.Self{ID: s.id, Address: s.linkAddress, Storage: folder.Identity().Storage},
--- a/wasabicontrol/instance.go
+++ b/wasabicontrol/instance.go
@@ -65,16 +65,14 @@
 	membership *membershipManager
 
 	// ready is closed once all fields are set; incoming streams wait for it.
-	ready         chan struct{}
-	removedSignal chan struct{}
-	removedOnce   sync.Once
-	failedSignal  chan struct{}
-	failedOnce    sync.Once
-	ctx           context.Context
-	cancel        context.CancelFunc
-	wait          sync.WaitGroup
-	closeOnce     sync.Once
-	closeErr      error
+	ready        chan struct{}
+	failedSignal chan struct{}
+	failedOnce   sync.Once
+	ctx          context.Context
+	cancel       context.CancelFunc
+	wait         sync.WaitGroup
+	closeOnce    sync.Once
+	closeErr     error
 }
 
 // New checks the settings and returns an instance that has not started.
@@ -97,7 +95,7 @@
 	if p.Raft == (wasabiraft.Settings{}) {
 		p.Raft = wasabiraft.NewSettings()
 	}
-	i := &Instance{settings: s, parts: p, groups: map[string]*group{}, ready: make(chan struct{}), removedSignal: make(chan struct{}), failedSignal: make(chan struct{})}
+	i := &Instance{settings: s, parts: p, groups: map[string]*group{}, ready: make(chan struct{}), failedSignal: make(chan struct{})}
 	if p.Log != nil {
 		i.log = *p.Log
 	} else {
--- a/wasabicontrol/join.go
+++ b/wasabicontrol/join.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -21,9 +22,8 @@
 	// membershipInterval is how often a leader checks its members, and how
 	// often an instance without a leader requests to join.
 	membershipInterval = 250 * time.Millisecond
-	// leaderlessTimeout is how long a member is without a leader before it
-	// asks whether it is still a member: longer than several elections.
-	leaderlessTimeout = 4 * time.Second
+	// maxStorageBytes bounds the storage identity in a join request.
+	maxStorageBytes = 64
 	// joinTimeout bounds one join request or membership change.
 	joinTimeout = time.Second
 	// probeTimeout bounds the dial to a silent member: several round trips
@@ -33,22 +33,20 @@
 	maxKnownAddresses = 32
 )
 
-// ErrRemoved reports that the group has removed this instance's disk. The data
-// folder must be emptied before the instance joins again.
-var ErrRemoved = Error.New("the group has removed this instance's disk")
-
 // membershipManager maintains the members of a group. At the leader it removes
 // members that are silent or leave, once others have taken their places; on an instance
-// without a leader it requests to join. Join requests are decided by handleJoin.
+// that may be no member it requests to join. Join requests are decided by handleJoin.
 type membershipManager struct {
-	instance        *Instance
-	group           *group
-	options         wasabiform.Options
-	planner         *wasabiform.Planner
-	addresses       []string // known members, to which join requests are sent
-	leaderlessSince time.Time
-	nextAddress     int
-	wake            chan struct{}
+	instance    *Instance
+	group       *group
+	options     wasabiform.Options
+	planner     *wasabiform.Planner
+	seeker      *wasabiform.Seeker
+	addresses   []string // known members, to which join requests are sent
+	nextAddress int
+	wake        chan struct{}
+	// seekingSince is when the instance began to request to join, nil while it does not.
+	seekingSince atomic.Pointer[time.Time]
 
 	mu sync.Mutex
 	// leaving holds the members that asked to be replaced, with the time of the
@@ -58,7 +56,7 @@
 
 func newMembershipManager(i *Instance, g *group) *membershipManager {
 	o := wasabiform.NewOptions(i.settings.maxDiskLosses)
-	mm := &membershipManager{instance: i, group: g, options: o, planner: wasabiform.New(o), leaderlessSince: time.Now(), wake: make(chan struct{}, 1), leaving: map[string]time.Time{}}
+	mm := &membershipManager{instance: i, group: g, options: o, planner: wasabiform.New(o), seeker: wasabiform.NewSeeker(), wake: make(chan struct{}, 1), leaving: map[string]time.Time{}}
 	for _, m := range g.settings.Members {
 		mm.addresses = append(mm.addresses, m.Address)
 	}
@@ -69,6 +67,7 @@
 	t := time.NewTicker(membershipInterval)
 	defer t.Stop()
 	for {
+		mm.step(ctx)
 		select {
 		case <-ctx.Done():
 			return
@@ -77,45 +76,30 @@
 		case <-t.C:
 		case <-mm.wake:
 		}
-		if !mm.step(ctx) {
-			return
-		}
 	}
 }
 
-// step runs one check. It returns false once the group has removed this
-// instance's disk.
-func (mm *membershipManager) step(ctx context.Context) bool {
+// step runs one check.
+func (mm *membershipManager) step(ctx context.Context) {
 	s := mm.group.runner.Status()
 	now := time.Now()
 	mm.addMemberAddresses(s)
 	isLeader := s.Role == wasabiraft.Leader
 	mm.planner.SetLeading(now, isLeader)
 	if isLeader {
-		mm.leaderlessSince = time.Time{}
+		mm.seeker.Confirm()
+		mm.recordSeeking(mm.seeker.ShouldAsk(now, now))
 		mm.removeReplaced(ctx, now, s)
-		return true
+		return
 	}
 	if mm.instance.handingOver.Load() {
-		return true
-	}
-	if s.Leader != "" {
-		mm.leaderlessSince = time.Time{}
-		return true
-	}
-	if mm.leaderlessSince.IsZero() {
-		mm.leaderlessSince = now
+		return
 	}
-	established := mm.wasMember(s)
-	if established && now.Sub(mm.leaderlessSince) < leaderlessTimeout {
-		return true
+	seeking := mm.seeker.ShouldAsk(now, s.LeaderContact)
+	mm.recordSeeking(seeking)
+	if seeking {
+		mm.requestJoin(ctx, mm.wasMember(s))
 	}
-	return mm.requestJoin(ctx, established)
-}
-
-// wasMember reports whether this disk has been a member of the group.
-func (mm *membershipManager) wasMember(s wasabiraft.Status) bool {
-	return len(s.Members) > 0 && s.Commit > 0
 }
 
 func (mm *membershipManager) addMemberAddresses(s wasabiraft.Status) {
@@ -134,7 +118,7 @@
 func plannerMembers(s wasabiraft.Status) []wasabiform.Member {
 	list := make([]wasabiform.Member, 0, len(s.Members))
 	for _, m := range s.Members {
-		list = append(list, wasabiform.Member{ID: m.ID, Voter: m.Voter, LastContact: m.LastContact, Led: m.Led})
+		list = append(list, wasabiform.Member{ID: m.ID, Storage: m.Storage, Voter: m.Voter, LastContact: m.LastContact, CaughtUpAt: m.CaughtUpAt, Led: m.Led})
 	}
 	return list
 }
@@ -196,62 +180,6 @@
 	return err == nil && l.Usable(), errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// requestJoin sends a join request to the next known address, and to the leader
-// if the response names one. It returns false if the group has removed this
-// instance's disk.
-func (mm *membershipManager) requestJoin(ctx context.Context, established bool) bool {
-	if len(mm.addresses) == 0 {
-		return true
-	}
-	address := mm.addresses[mm.nextAddress%len(mm.addresses)]
-	mm.nextAddress++
-	response, address, err := mm.instance.askLeader(ctx, address, &wasabistandv1.JoinRequest{Established: established})
-	mm.addAddress(address)
-	for _, a := range response.GetAddresses() {
-		mm.addAddress(a)
-	}
-	mm.instance.log.Info().Str("Address", address).Bool("Established", established).
-		Str("Outcome", response.GetOutcome().String()).AnErr("Error", err).Msg("requested to join")
-	if response.GetOutcome() == wasabistandv1.JoinResponse_OUTCOME_REMOVED {
-		mm.instance.signalRemoved()
-		return false
-	}
-	return true
-}
-
-// askLeader sends a request to an instance, and to the leader if the response names one.
-// It returns the address that responded last.
-func (i *Instance) askLeader(ctx context.Context, address string, r *wasabistandv1.JoinRequest) (*wasabistandv1.JoinResponse, string, error) {
-	response, err := i.sendJoinRequest(ctx, address, r)
-	if response.GetOutcome() == wasabistandv1.JoinResponse_OUTCOME_NOT_LEADER && response.GetLeaderAddress() != "" {
-		address = response.GetLeaderAddress()
-		response, err = i.sendJoinRequest(ctx, address, r)
-	}
-	return response, address, err
-}
-
-// sendJoinRequest sends one join request of this instance.
-func (i *Instance) sendJoinRequest(ctx context.Context, address string, r *wasabistandv1.JoinRequest) (*wasabistandv1.JoinResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
-	defer cancel()
-	link, err := i.pool.Get(ctx, address)
-	if err != nil {
-		return nil, err
-	}
-	s, err := link.Open(wasabistandv1.StreamOpen_KIND_JOIN)
-	if err != nil {
-		return nil, err
-	}
-	defer s.Close()
-	_ = s.SetDeadline(time.Now().Add(joinTimeout))
-	r.Group, r.Cluster, r.Id, r.Address = RootGroup, i.settings.cluster, i.settings.id, i.settings.linkAddress
-	if err := s.Send(r); err != nil {
-		return nil, err
-	}
-	response := new(wasabistandv1.JoinResponse)
-	return response, s.Receive(response)
-}
-
 // serveJoin handles one join request.
 func (i *Instance) serveJoin(ctx context.Context, s *wasabilink.Stream) {
 	_ = s.SetDeadline(time.Now().Add(joinTimeout))
@@ -277,11 +205,12 @@
 	if g == nil || r.GetCluster() != i.settings.cluster || r.GetId() == "" {
 		return response, wasabistand.ErrInvalid.New("group %q of cluster %q, member %q: not served", r.GetGroup(), r.GetCluster(), r.GetId())
 	}
+	if n := len(r.GetStorage()); n < 1 || n > maxStorageBytes {
+		return response, wasabistand.ErrInvalid.New("storage: %d bytes, allowed are 1 to %d", n, maxStorageBytes)
+	}
 	status := g.runner.Status()
-	isMember := false
 	for _, m := range status.Members {
 		response.Addresses = append(response.Addresses, m.Address)
-		isMember = isMember || m.ID == r.GetId()
 	}
 	if status.Role != wasabiraft.Leader {
 		response.Outcome = wasabistandv1.JoinResponse_OUTCOME_NOT_LEADER
@@ -297,41 +226,23 @@
 		}
 		return response, nil
 	}
-	if isMember {
+	planner := wasabiform.New(wasabiform.NewOptions(i.settings.maxDiskLosses))
+	switch planner.Admit(plannerMembers(status), r.GetId(), r.GetStorage(), r.GetEstablished()) {
+	case wasabiform.Listed:
 		response.Outcome = wasabistandv1.JoinResponse_OUTCOME_MEMBER
 		return response, nil
-	}
-	if r.GetEstablished() {
-		// The requester gives up its disk, so the list of members must be
-		// confirmed by the quorum.
-		if err := g.confirmer.confirm(ctx); err != nil {
-			return response, err
-		}
-		response.Outcome = wasabistandv1.JoinResponse_OUTCOME_REMOVED
-		return response, nil
-	}
-	if !wasabiform.New(wasabiform.NewOptions(i.settings.maxDiskLosses)).HasRoom(plannerMembers(status)) {
+	case wasabiform.Full:
 		return response, nil
 	}
-	err := g.runner.ChangeMembers(ctx, wasabiraft.MemberChange{Add: &wasabistandv1.Member{Id: r.GetId(), Address: r.GetAddress()}})
-	if err == nil {
-		i.log.Info().Str("Member", r.GetId()).Str("Address", r.GetAddress()).Msg("member added")
-		response.Outcome = wasabistandv1.JoinResponse_OUTCOME_MEMBER
+	m := &wasabistandv1.Member{Id: r.GetId(), Address: r.GetAddress(), Storage: r.GetStorage()}
+	if err := g.runner.ChangeMembers(ctx, wasabiraft.MemberChange{Add: m}); err != nil {
+		return response, err
 	}
-	return response, err
+	i.log.Info().Str("Member", r.GetId()).Str("Address", r.GetAddress()).Bool("Established", r.GetEstablished()).Msg("member added")
+	response.Outcome = wasabistandv1.JoinResponse_OUTCOME_MEMBER
+	return response, nil
 }
 
-// signalRemoved closes the channel of Removed once.
-func (i *Instance) signalRemoved() {
-	i.log.Error().Err(ErrRemoved).Msg("control instance must be restarted with an empty data folder")
-	i.removedOnce.Do(func() { close(i.removedSignal) })
-}
-
-// Removed returns a channel that is closed when the group has removed this
-// instance's disk. The instance must then be closed and started again with an
-// empty data folder.
-func (i *Instance) Removed() <-chan struct{} { return i.removedSignal }
-
 // checkDurable returns an error while the group has too few voters for a
 // committed entry to survive the disk losses that it must tolerate.
 func (i *Instance) checkDurable(g *group) error {
--- a/wasabicontrol/metrics.go
+++ b/wasabicontrol/metrics.go
@@ -51,7 +51,8 @@
 	descFull      = prometheus.NewDesc("wasabi_control_group_disk_full", "1 while the replica waits for free disk space.", []string{"group"}, nil)
 	descRefusing  = prometheus.NewDesc("wasabi_control_group_disk_refusing_seconds", "Time since the disk began to refuse writes that the replica needs, 0 while it accepts them.", []string{"group"}, nil)
 	descErrors    = prometheus.NewDesc("wasabi_control_disk_errors_total", "Errors of the disk, by class and operation.", []string{"group", "class", "operation"}, nil)
-	descReopened  = prometheus.NewDesc("wasabi_control_reopened_total", "Times that the control instance was opened again in this process, because a replica had ended, its disk was removed from the group, or the disk refused the start.", nil, nil)
+	descReopened  = prometheus.NewDesc("wasabi_control_reopened_total", "Times that the control instance was opened again in this process, because a replica had ended or the disk refused the start.", nil, nil)
+	descSeeking   = prometheus.NewDesc("wasabi_control_seeking_membership_seconds", "Time since the instance began to ask whether it is a member of the group, 0 while a leader lists it.", nil, nil)
 	descClaims    = prometheus.NewDesc("wasabi_control_claims", "Claims in the table.", []string{"group"}, nil)
 	descRequests  = prometheus.NewDesc("wasabi_control_claim_requests_total", "Claim requests proposed by this control instance.", []string{"group"}, nil)
 	descBatches   = prometheus.NewDesc("wasabi_control_claim_batches_total", "Commands proposed for claim requests.", []string{"group"}, nil)
@@ -62,7 +63,7 @@
 
 // Describe implements prometheus.Collector.
 func (c *collector) Describe(d chan<- *prometheus.Desc) {
-	for _, k := range []*prometheus.Desc{descSessions, descBehind, descDistance, descInstances, descSuspect, descRevision, descLeader, descTerm, descCommit, descFull, descRefusing, descErrors, descReopened, descClaims, descRequests, descBatches, descSentBytes, descSentMessages} {
+	for _, k := range []*prometheus.Desc{descSessions, descBehind, descDistance, descInstances, descSuspect, descRevision, descLeader, descTerm, descCommit, descFull, descRefusing, descErrors, descReopened, descSeeking, descClaims, descRequests, descBatches, descSentBytes, descSentMessages} {
 		d <- k
 	}
 }
@@ -88,6 +89,13 @@
 	}
 	i.metrics.sent.collect(out)
 	out <- prometheus.MustNewConstMetric(descReopened, prometheus.CounterValue, float64(i.parts.Reopened))
+	if mm := i.membership; mm != nil {
+		seeking := 0.0
+		if since := mm.seekingSince.Load(); since != nil {
+			seeking = time.Since(*since).Seconds()
+		}
+		gauge(descSeeking, seeking)
+	}
 	for name, g := range i.groups {
 		s := g.runner.Status()
 		gauge(descRevision, float64(g.machine.current.Load().revision), name)
--- a/wasabicontrol/supervisor.go
+++ b/wasabicontrol/supervisor.go
@@ -24,14 +24,11 @@
 	// already, so that an empty data folder joins it. reopened is the number of
 	// instances that ran before in this process.
 	Open func(join bool, reopened uint64) (*Instance, error)
-	// Empty empties the data folder after the group has removed the disk. It may be nil
-	// if the group removes none.
-	Empty func() error
-	Log   zerolog.Logger
+	Log  zerolog.Logger
 }
 
 // Supervisor keeps a control instance running: it opens it again when a replica
-// has ended or the group has removed its disk. It is safe for concurrent use.
+// has ended. It is safe for concurrent use.
 type Supervisor struct {
 	config   SupervisorConfig
 	mu       sync.Mutex
@@ -70,12 +67,9 @@
 // runUntilEnd waits until an instance has ended and returns its successor, nil if
 // the supervisor was stopped.
 func (s *Supervisor) runUntilEnd(i *Instance) *Instance {
-	removed := false
 	select {
 	case <-s.stop:
 		return nil
-	case <-i.Removed():
-		removed = true
 	case <-i.Failed():
 		s.config.Log.Error().Msg("a replica has ended, the control instance is opened again")
 	}
@@ -83,16 +77,6 @@
 	if err := i.Close(); err != nil {
 		s.config.Log.Warn().Err(err).Msg("closing the control instance failed")
 	}
-	for pause := minReopenPause; removed && s.config.Empty != nil; pause = nextPause(pause) {
-		err := s.config.Empty()
-		if err == nil {
-			break
-		}
-		s.config.Log.Error().Err(err).Msg("emptying the data folder failed")
-		if !s.sleep(pause) {
-			return nil
-		}
-	}
 	// A folder that was emptied by someone else must not form a new group.
 	return s.reopen(true)
 }
--- a/wasabiraft/admin.go
+++ b/wasabiraft/admin.go
@@ -26,10 +26,13 @@
 	// DroppedMessages is the number of messages dropped because the queue was
 	// full.
 	DroppedMessages uint64
-	Members         []MemberStatus
+	// LeaderContact is the time of the latest message from a leader, zero for none
+	// since the start.
+	LeaderContact time.Time
+	Members       []MemberStatus
 }
 
-// MemberStatus is the status of one member. Match, LastContact and
+// MemberStatus is the status of one member. Match, LastContact, CaughtUpAt and
 // JoiningStorage are set only on the leader.
 type MemberStatus struct {
 	ID      string
@@ -46,6 +49,8 @@
 	// Led is set for the leader of the term before. Its LastContact is that of its last
 	// message to this member as a follower, until it responds.
 	Led bool
+	// CaughtUpAt is when the member last had all committed entries, zero for never.
+	CaughtUpAt time.Time
 	// JoiningStorage is the identity of a new disk that waits to be admitted,
 	// empty for none.
 	JoiningStorage string
@@ -56,11 +61,12 @@
 	s := Status{
 		ID: r.self.ID, Storage: r.self.Storage, Role: r.role, Term: r.Term(), Leader: r.leader,
 		Commit: r.log.commit, Applied: r.log.applied, SnapshotIndex: r.snapshot.GetIndex(),
+		LeaderContact: r.lastLeaderContact,
 	}
 	for _, m := range r.currentMembers().GetMembers() {
 		x := MemberStatus{ID: m.GetId(), Address: m.GetAddress(), Storage: m.GetStorage(), Voter: m.GetVoter()}
 		if p := r.progress[m.GetId()]; p != nil {
-			x.Match, x.LastContact, x.Led = p.match, p.lastContact, p.led
+			x.Match, x.LastContact, x.Led, x.CaughtUpAt = p.match, p.lastContact, p.led, p.caughtUpAt
 			if p.joiningStorage != m.GetStorage() {
 				x.JoiningStorage = p.joiningStorage
 			}
@@ -78,7 +84,7 @@
 		s = r.replica.Status()
 		s.Applied, s.DroppedMessages = r.applied, r.dropped.Load()
 		if r.disk.refuses() {
-			s.Role, s.Leader = Follower, r.leader.Load().id
+			s.Role, s.Leader, s.LeaderContact = Follower, r.leader.Load().id, r.observedLeaderAt
 		}
 	})
 	s.Disk = r.disk.status()
@@ -86,10 +92,9 @@
 }
 
 // ChangeMembers adds or removes one member and returns once the change is
-// committed. An added member must be started with Join on an empty data folder.
-// It is promoted to a voter once it has caught up, which Status shows. A member
-// that was removed can rejoin only with an empty data folder. The errors are
-// those of Propose, and ErrInvalid.
+// committed. An added member must be started with Join on an empty data folder, or its
+// disk must be named. It is promoted to a voter once it has caught up, which Status
+// shows. The errors are those of Propose, and ErrInvalid.
 func (r *Runner) ChangeMembers(ctx context.Context, c MemberChange) error {
 	result := make(chan error, 1)
 	for {
--- a/wasabiraft/faults_test.go
+++ b/wasabiraft/faults_test.go
@@ -88,6 +88,8 @@
 		}
 	},
 	"replaceDisk": (*sim).replaceDisk,
+	"swapDisks":   (*sim).swapDisks,
+	"return":      (*sim).returnRemoved,
 	"add":         (*sim).add,
 	"remove":      (*sim).remove,
 	"transfer": func(s *sim) {
@@ -106,10 +108,41 @@
 		return
 	}
 	s.crash(h)
+	h.previous = append(h.previous, h.fs)
 	h.fs, h.storage, h.join = wasabifault.New(), "", true
 	s.start(h)
 }
 
+// swapDisks gives a random host one of its earlier disks back, unless a majority would
+// then lack its data. The disk has its old log, member lists and votes.
+func (s *sim) swapDisks() {
+	h := s.randomHost()
+	if h == nil || len(h.previous) == 0 || !s.hasIntactMajorities(h) {
+		return
+	}
+	s.crash(h)
+	k := s.random.IntN(len(h.previous))
+	h.fs, h.previous[k] = h.previous[k], h.fs
+	s.start(h)
+}
+
+// returnRemoved names the disk of a random host to the leader, as a host that was removed
+// or whose listed disk is another one does.
+func (s *sim) returnRemoved() {
+	l, h := s.leader(), s.randomHost()
+	if l == nil || h == l || !l.replica.CanChangeMembers() {
+		return
+	}
+	for _, m := range l.replica.Members().GetMembers() {
+		if m.GetId() == h.id && m.GetStorage() == "" {
+			return
+		}
+	}
+	// A disk that responds, or the only vote, can't be replaced.
+	_, _, _ = l.replica.ChangeMembers(s.now, wasabiraft.MemberChange{Add: &wasabistandv1.Member{Id: h.id, Address: h.id, Storage: h.storage}})
+	s.processReady(l)
+}
+
 // add adds a host that is in no member list, with an empty disk.
 func (s *sim) add() {
 	l := s.leader()
@@ -131,6 +164,7 @@
 		if h.replica != nil {
 			s.crash(h)
 		}
+		h.previous = append(h.previous, h.fs)
 		h.fs, h.join = wasabifault.New(), true
 		s.start(h)
 		_, _, err := l.replica.ChangeMembers(s.now, wasabiraft.MemberChange{Add: &wasabistandv1.Member{Id: h.id, Address: h.id}})
@@ -175,6 +209,7 @@
 		if l == nil {
 			continue
 		}
+		s.nameDisks(l)
 		if index == 0 || uint64(len(s.committed)) < index {
 			if i, _, err := l.replica.Propose(s.now, [][]byte{[]byte("last")}); err == nil {
 				index = i
@@ -193,6 +228,16 @@
 	s.fail("no progress 10 s after the faults stopped: %s", text)
 }
 
+// nameDisks names to the leader the disks that its list lacks.
+func (s *sim) nameDisks(l *host) {
+	for _, m := range l.replica.Members().GetMembers() {
+		if h := s.host(m.GetId()); h.replica != nil && m.GetStorage() != "" && m.GetStorage() != h.storage {
+			_, _, _ = l.replica.ChangeMembers(s.now, wasabiraft.MemberChange{Add: &wasabistandv1.Member{Id: h.id, Address: h.id, Storage: h.storage}})
+			s.processReady(l)
+		}
+	}
+}
+
 func (s *sim) hasRecovered(l *host, index uint64) bool {
 	for _, m := range l.replica.Members().GetMembers() {
 		h := s.host(m.GetId())
--- a/wasabiraft/members.go
+++ b/wasabiraft/members.go
@@ -10,8 +10,12 @@
 // MemberChange describes a change that adds or removes one member.
 type MemberChange struct {
 	// Add holds the name and address of a member to add as a learner. The
-	// leader promotes it to a voter once its disk has caught up. For a name
-	// that is already a member, only the address changes.
+	// leader promotes it to a voter once its disk has caught up. If Storage is
+	// empty, the member must start with an empty disk. Otherwise it names the disk,
+	// which may be one that was a member before: it keeps its log and its votes.
+	// For a name that is already a member, the address changes and, if Storage names
+	// another disk, that disk becomes a learner in place of the previous one, which
+	// must not have responded within an election timeout.
 	Add *wasabistandv1.Member
 	// Remove is the name of a member to remove.
 	Remove string
@@ -40,7 +44,14 @@
 		case m == nil && len(next.GetMembers()) >= maxMembers:
 			return 0, 0, wasabistand.ErrInvalid.New("%d members: allowed are %d", len(next.GetMembers())+1, maxMembers)
 		case m == nil:
-			next.Members = append(next.Members, &member{Id: c.Add.GetId(), Address: c.Add.GetAddress()})
+			next.Members = append(next.Members, &member{Id: c.Add.GetId(), Address: c.Add.GetAddress(), Storage: c.Add.GetStorage()})
+		case replacesDisk(m, c.Add):
+			if err := r.checkDiskReplaceable(now, m); err != nil {
+				return 0, 0, err
+			}
+			m.Address, m.Storage, m.Voter = c.Add.GetAddress(), c.Add.GetStorage(), false
+			// The progress was that of the previous disk.
+			r.progress[m.GetId()] = nil
 		case m.GetAddress() == c.Add.GetAddress():
 			return 0, r.Term(), nil
 		default:
@@ -66,6 +77,24 @@
 	return index, r.Term(), err
 }
 
+// replacesDisk reports whether the member to add names another disk than the listed
+// member m. A bootstrapped voter whose identity is not recorded yet has no other disk.
+func replacesDisk(m, add *member) bool {
+	return add.GetStorage() != "" && add.GetStorage() != m.GetStorage() && (m.GetStorage() != "" || !m.GetVoter())
+}
+
+// checkDiskReplaceable returns an error if the disk that holds m's membership may still
+// be in use, or if the group can't do without its vote.
+func (r *Replica) checkDiskReplaceable(now time.Time, m *member) error {
+	if r.progress[m.GetId()].respondedSince(now.Add(-r.settings.ElectionTimeout)) {
+		return wasabistand.ErrInvalid.New("member %q: disk %s responds", m.GetId(), m.GetStorage())
+	}
+	if m.GetVoter() && r.voterCount() == 1 {
+		return wasabistand.ErrInvalid.New("member %q is the only voter: its disk can't be replaced", m.GetId())
+	}
+	return nil
+}
+
 // canChangeMembers reports whether the member list may be changed. Majorities
 // of the old and the new list are certain to overlap only if the lists differ in
 // at most one voter. Hence the previous list must be committed, and this leader
@@ -136,7 +165,7 @@
 // promoteLearner makes one learner a voter. Members respond after a sync, so a
 // learner that matches the commit index has all committed entries on disk.
 func (r *Replica) promoteLearner(now time.Time, next *members) bool {
-	if n := r.settings.MaxVoters; n > 0 && r.voterCount() >= n {
+	if n := r.settings.MaxVoters; n > 0 && r.voterCount() >= n || r.mustRemoveFirst(now) {
 		return false
 	}
 	for _, m := range next.GetMembers() {
@@ -149,6 +178,25 @@
 	return false
 }
 
+// silentHeartbeats is the number of heartbeat intervals after which a voter is silent.
+const silentHeartbeats = 3
+
+// mustRemoveFirst reports whether a silent voter must be removed before a learner is
+// promoted. A further voter would raise the majority of an odd number of voters, so that
+// the group depends on the new one as long as the silent one has a vote.
+func (r *Replica) mustRemoveFirst(now time.Time) bool {
+	if n := r.voterCount(); r.settings.TargetVoters == 0 || n < r.settings.TargetVoters || n%2 == 0 {
+		return false
+	}
+	since := now.Add(-silentHeartbeats * r.settings.HeartbeatInterval)
+	for _, m := range r.currentMembers().GetMembers() {
+		if p := r.progress[m.GetId()]; m.GetVoter() && m.GetId() != r.self.ID && (!p.responded || !p.respondedSince(since)) {
+			return true
+		}
+	}
+	return false
+}
+
 // stepDownRemoved transfers leadership and steps down once the entry that
 // removes this leader is committed.
 func (r *Replica) stepDownRemoved(now time.Time) {
--- a/wasabiraft/replicate.go
+++ b/wasabiraft/replicate.go
@@ -21,7 +21,9 @@
 	snapshotOffset  uint64
 	sentCommit      uint64 // commit index in the latest message
 	lastContact     time.Time
-	led             bool // the member was the last leader that this replica followed
+	responded       bool      // since the leader began to replicate to the member
+	led             bool      // the member was the last leader that this replica followed
+	caughtUpAt      time.Time // when the member last had all committed entries, zero for never
 	readAck         uint64
 	storage         string // identity of the disk that holds the membership
 	joiningStorage  string // identity of a new disk of this member that requests to join
@@ -244,19 +246,26 @@
 		}
 		return
 	}
-	p.lastContact, p.storage = now, m.GetFromStorage()
+	p.lastContact, p.responded, p.storage = now, true, m.GetFromStorage()
 	if m.GetKind() == wasabistandv1.GroupMessage_KIND_HEARTBEAT_RESPONSE {
-		p.readAck = max(p.readAck, min(m.GetReadSequence(), r.readSequence))
-		r.confirmReads()
-		p.awaitingResponse = false
-		if p.snapshot == nil && !p.probing && p.match < r.log.lastIndex() && len(p.inflight) > 0 {
-			// A message may have been lost, or its response waits for the sync of its
-			// entries. The response to this empty append shows which.
-			r.sendAppend(m.GetFrom(), p, true)
-		}
-		return
+		r.stepHeartbeatResponse(m, p)
+	} else {
+		r.stepAppendResponse(now, m, p)
+	}
+	if p.match >= r.log.commit {
+		p.caughtUpAt = now
+	}
+}
+
+func (r *Replica) stepHeartbeatResponse(m *message, p *progress) {
+	p.readAck = max(p.readAck, min(m.GetReadSequence(), r.readSequence))
+	r.confirmReads()
+	p.awaitingResponse = false
+	if p.snapshot == nil && !p.probing && p.match < r.log.lastIndex() && len(p.inflight) > 0 {
+		// A message may have been lost, or its response waits for the sync of its
+		// entries. The response to this empty append shows which.
+		r.sendAppend(m.GetFrom(), p, true)
 	}
-	r.stepAppendResponse(now, m, p)
 }
 
 func (r *Replica) stepAppendResponse(now time.Time, m *message, p *progress) {
--- a/wasabiraft/settings.go
+++ b/wasabiraft/settings.go
@@ -52,6 +52,10 @@
 	// MaxVoters limits the number of voters; further members remain learners. 0
 	// means no limit.
 	MaxVoters int
+	// TargetVoters is the number of voters from which on a silent voter must be removed
+	// before another member is promoted if that would raise the majority. 0 means that
+	// no removal is awaited.
+	TargetVoters int
 }
 
 // NewSettings returns the default settings.
@@ -99,6 +103,13 @@
 	return s
 }
 
+// WithTargetVoters returns a copy that awaits the removal of silent voters from n voters
+// on.
+func (s Settings) WithTargetVoters(n int) Settings {
+	s.TargetVoters = n
+	return s
+}
+
 // validate returns an error for the first invalid setting.
 func (s Settings) validate() error {
 	positive := []struct {
