Keep the latest addresses of the group, so that removed control instances find it

The same cause on related paths: control instances dropped settings that were read again, kept the first 32 addresses and refused later ones, and the transport sent nothing to members after the first 64 addresses. Change: wasabiform.Addresses always has room for the latest member list and keeps the latest 32 others; each round asks some of both. An instance that is opened again in a process is told what the one before knew. The transport ends the sender that was idle for longest. Tests: TestSendAfterManyReplacements failed before ("no stream is opened to the present member").

--- a/internal/process/wasabimesh/control.go
+++ b/internal/process/wasabimesh/control.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -75,6 +76,10 @@
 
 	supervisor *wasabicontrol.Supervisor
 	server     *http.Server
+
+	mu sync.Mutex
+	// addresses are those of SetControlAddresses.
+	addresses []string
 }
 
 var _ wasabiprocess.Daemon = (*ControlDaemon)(nil)
@@ -90,6 +95,23 @@
 // Instance returns the running control instance, or nil if there is none.
 func (c *ControlDaemon) Instance() *wasabicontrol.Instance { return c.supervisor.Instance() }
 
+// SetControlAddresses sets the link addresses of control instances in settings that were
+// read again. The instance looks for its group there too.
+func (c *ControlDaemon) SetControlAddresses(list ...string) {
+	c.mu.Lock()
+	c.addresses = slices.Clone(list)
+	c.mu.Unlock()
+	if i := c.Instance(); i != nil {
+		i.AddControlAddresses(list...)
+	}
+}
+
+func (c *ControlDaemon) controlAddresses() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.addresses
+}
+
 // Start implements wasabiprocess.Daemon.
 func (c *ControlDaemon) Start(context.Context) error {
 	if err := c.supervisor.Start(c.settings.Join); err != nil {
@@ -100,7 +122,7 @@
 	return err
 }
 
-func (c *ControlDaemon) open(join bool, reopened uint64) (*wasabicontrol.Instance, error) {
+func (c *ControlDaemon) open(o wasabicontrol.Opening) (*wasabicontrol.Instance, error) {
 	s := c.settings
 	var links net.Listener
 	if s.LinkListen != "" {
@@ -111,12 +133,12 @@
 	}
 	i, err := wasabicontrol.New(wasabicontrol.NewSettings(s.Cluster, s.Instance, s.Folder).
 		WithLocation(s.Location).WithAddresses(s.Link, s.API).
-		WithGroups(wasabicontrol.Group{Name: wasabicontrol.RootGroup, Members: s.InitialMembers, Join: join}).
+		WithGroups(wasabicontrol.Group{Name: wasabicontrol.RootGroup, Members: s.InitialMembers, Join: o.Join}).
 		WithSessions(maxSessions, sessionQueueBytes, sessionSlowAfter).WithLease(announcementLease).
 		WithConfirm(confirmTimeout, confirmInterval, quorumLossTimeout).
 		WithAutoMembership(s.ToleratedDiskLosses).WithRevisions(maxRevisions, maxRevisionBytes),
 		wasabicontrol.Parts{
-			Log: &c.log, Disk: s.Disk, Reopened: reopened, LinkListener: links,
+			Log: &c.log, Disk: s.Disk, Reopened: o.Reopened, KnownAddresses: slices.Concat(c.controlAddresses(), o.KnownAddresses), LinkListener: links,
 			Links: func(o wasabilink.Options) wasabilink.Options {
 				o = o.WithHeartbeat(linkPingInterval, linkSuspectAfter, linkSilentAfter)
 				if s.Links != nil {
--- a/wasabicontrol/group.go
+++ b/wasabicontrol/group.go
@@ -116,6 +116,7 @@
 	sent    *sentBytes
 	mu      sync.Mutex
 	senders map[string]*sender
+	sends   uint64
 	closed  bool
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -126,10 +127,15 @@
 type sender struct {
 	address string
 	queue   chan *wasabistandv1.GroupMessage
+	// lastSend is the number of the latest call of Send for this member.
+	lastSend uint64
+	ctx      context.Context
+	cancel   context.CancelFunc
 }
 
 // Limits of a sender. A full queue drops messages; the replication protocol
-// recovers from lost messages.
+// recovers from lost messages. Beyond maxSenders, the sender that has been idle for
+// longest ends, which is one of a former member.
 const (
 	maxSenders        = 64
 	maxQueuedMessages = 1024
@@ -153,13 +159,19 @@
 	defer t.mu.Unlock()
 	s := t.senders[address]
 	if s == nil {
-		if t.closed || address == "" || len(t.senders) >= maxSenders {
+		if t.closed || address == "" {
 			return
 		}
+		if len(t.senders) >= maxSenders {
+			t.endIdleSender()
+		}
 		s = &sender{address: address, queue: make(chan *wasabistandv1.GroupMessage, maxQueuedMessages)}
+		s.ctx, s.cancel = context.WithCancel(t.ctx)
 		t.senders[address] = s
 		t.wait.Go(func() { t.runSender(s) })
 	}
+	t.sends++
+	s.lastSend = t.sends
 	for _, m := range list {
 		select {
 		case s.queue <- m:
@@ -169,13 +181,26 @@
 	}
 }
 
+// endIdleSender ends the sender that has been idle for longest.
+func (t *transport) endIdleSender() {
+	var idle *sender
+	for _, s := range t.senders {
+		if idle == nil || s.lastSend < idle.lastSend {
+			idle = s
+		}
+	}
+	idle.cancel()
+	delete(t.senders, idle.address)
+}
+
 func (t *transport) runSender(s *sender) {
+	defer s.cancel()
 	var stream *groupStream
 	defer func() { stream.close() }()
 	for {
 		f := &wasabistandv1.GroupFrame{Group: t.group, Cluster: t.cluster}
 		select {
-		case <-t.ctx.Done():
+		case <-s.ctx.Done():
 			return
 		case m := <-s.queue:
 			f.Messages = append(f.Messages, m)
@@ -195,7 +220,7 @@
 			stream = nil
 		}
 		if stream == nil {
-			stream = t.openStream(s.address)
+			stream = t.openStream(s)
 		}
 		if stream == nil {
 			continue
@@ -209,10 +234,10 @@
 	}
 }
 
-func (t *transport) openStream(address string) *groupStream {
-	ctx, cancel := context.WithTimeout(t.ctx, groupDialTimeout)
+func (t *transport) openStream(s *sender) *groupStream {
+	ctx, cancel := context.WithTimeout(s.ctx, groupDialTimeout)
 	defer cancel()
-	link, err := t.pool.Get(ctx, address)
+	link, err := t.pool.Get(ctx, s.address)
 	if err != nil {
 		return nil
 	}
@@ -221,8 +246,8 @@
 		return nil
 	}
 	out := &groupStream{Stream: stream}
-	// A send that waits for the peer ends with the transport.
-	out.stop = context.AfterFunc(t.ctx, out.abort)
+	// A send that waits for the peer ends with the sender.
+	out.stop = context.AfterFunc(s.ctx, out.abort)
 	return out
 }
 
--- a/wasabicontrol/instance.go
+++ b/wasabicontrol/instance.go
@@ -39,6 +39,9 @@
 	Disk wasabidisk.FS
 	// Reopened is the number of instances that ran before in this process.
 	Reopened uint64
+	// KnownAddresses are link addresses at which the group may be found, besides those
+	// of the settings.
+	KnownAddresses []string
 }
 
 // Instance is one control instance. It is safe for concurrent use.
--- a/wasabicontrol/join.go
+++ b/wasabicontrol/join.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -29,26 +28,25 @@
 	// probeTimeout bounds the dial to a silent member: several round trips
 	// between regions.
 	probeTimeout = 300 * time.Millisecond
-	// maxKnownAddresses bounds the addresses to which join requests are sent.
-	maxKnownAddresses = 32
 )
 
 // membershipManager maintains the members of a group. At the leader it removes
 // members that are silent or leave, once others have taken their places; on an instance
 // that may be no member it requests to join. Join requests are decided by handleJoin.
 type membershipManager struct {
-	instance    *Instance
-	group       *group
-	options     wasabiform.Options
-	planner     *wasabiform.Planner
-	seeker      *wasabiform.Seeker
-	addresses   []string // known members, to which join requests are sent
-	nextAddress int
-	wake        chan struct{}
+	instance *Instance
+	group    *group
+	options  wasabiform.Options
+	planner  *wasabiform.Planner
+	seeker   *wasabiform.Seeker
+	round    int // of join requests
+	wake     chan struct{}
 	// seekingSince is when the instance began to request to join, nil while it does not.
 	seekingSince atomic.Pointer[time.Time]
 
 	mu sync.Mutex
+	// addresses are those to which join requests are sent.
+	addresses wasabiform.Addresses
 	// leaving holds the members that asked to be replaced, with the time of the
 	// latest request.
 	leaving map[string]time.Time
@@ -58,8 +56,9 @@
 	o := wasabiform.NewOptions(i.settings.maxDiskLosses)
 	mm := &membershipManager{instance: i, group: g, options: o, planner: wasabiform.New(o), seeker: wasabiform.NewSeeker(), wake: make(chan struct{}, 1), leaving: map[string]time.Time{}}
 	for _, m := range g.settings.Members {
-		mm.addresses = append(mm.addresses, m.Address)
+		mm.addHints(m.Address)
 	}
+	mm.addHints(i.parts.KnownAddresses...)
 	return mm
 }
 
@@ -83,7 +82,7 @@
 func (mm *membershipManager) step(ctx context.Context) {
 	s := mm.group.runner.Status()
 	now := time.Now()
-	mm.addMemberAddresses(s)
+	mm.setMemberAddresses(s)
 	isLeader := s.Role == wasabiraft.Leader
 	mm.planner.SetLeading(now, isLeader)
 	if isLeader {
@@ -102,18 +101,6 @@
 	}
 }
 
-func (mm *membershipManager) addMemberAddresses(s wasabiraft.Status) {
-	for _, m := range s.Members {
-		mm.addAddress(m.Address)
-	}
-}
-
-func (mm *membershipManager) addAddress(address string) {
-	if address != "" && address != mm.instance.settings.linkAddress && !slices.Contains(mm.addresses, address) && len(mm.addresses) < maxKnownAddresses {
-		mm.addresses = append(mm.addresses, address)
-	}
-}
-
 // plannerMembers converts the members of a status for the planner.
 func plannerMembers(s wasabiraft.Status) []wasabiform.Member {
 	list := make([]wasabiform.Member, 0, len(s.Members))
--- a/wasabicontrol/membership_test.go
+++ b/wasabicontrol/membership_test.go
@@ -141,6 +141,29 @@
 	c.awaitVoters(t, c.ids...)
 }
 
+// Guards against a removed member that never returns, because it asks only the members of
+// its start, which were all replaced since.
+func TestRemovedMemberFindsReplacedGroup(t *testing.T) {
+	c := newFormedCluster(t)
+	c.awaitVoters(t, c.ids...)
+	members := c.ids
+	for k, next := range []string{"control-6", "control-7", "control-8"} {
+		c.startJoining(next)
+		members = append(members[:len(members):len(members)], next)
+		c.awaitVoters(t, members...)
+		c.kill(fmt.Sprint("control-", k+1))
+		members = members[1:]
+		c.awaitVoters(t, members...)
+	}
+	const cut = "control-4"
+	c.sides[cut].Store(1)
+	c.groups[0].Members = []wasabicontrol.Member{{ID: "control-8", Address: c.links["control-8"]}}
+	c.startJoining("control-9")
+	c.awaitVoters(t, append(members[1:len(members):len(members)], "control-9")...)
+	c.sides[cut].Store(0)
+	c.awaitVoters(t, append(members, "control-9")...)
+}
+
 // Guards against losing the configuration for good, because members that are replaced one
 // after the other, the leader among them, keep their votes: stopped in order, or killed.
 func TestMembersReplacedInARowKeepConfiguration(t *testing.T) {
--- a/wasabicontrol/seek.go
+++ b/wasabicontrol/seek.go
@@ -7,12 +7,13 @@
 	"time"
 
 	wasabistandv1 "github.com/wasabistand/wasabistand/gen/wasabistand/v1"
+	"github.com/wasabistand/wasabistand/internal/policy/wasabiform"
 	"github.com/wasabistand/wasabistand/wasabiraft"
 )
 
 const (
-	// maxJoinTargets bounds the known addresses that are asked in one round. With as
-	// many losses as are tolerated, at least one of them responds.
+	// maxJoinTargets bounds the members that are asked in one round, and the further
+	// addresses. With as many losses as are tolerated, at least one member responds.
 	maxJoinTargets = 4
 	// joinRoundTimeout bounds one round, so that addresses that do not respond delay
 	// the next round little.
@@ -68,17 +69,16 @@
 			}
 		})
 	}
-	for _, address := range mm.nextAddresses(maxJoinTargets) {
+	for _, address := range mm.knownAddresses().Round(mm.round, maxJoinTargets) {
 		ask(address)
 	}
+	mm.round++
 	last := joinAnswer{}
 	for received := 0; received < len(asked) && !isLeaderAnswer(last.response); received++ {
 		select {
 		case last = <-answers:
-			mm.addAddress(last.response.GetLeaderAddress())
-			for _, address := range last.response.GetAddresses() {
-				mm.addAddress(address)
-			}
+			mm.addHints(last.response.GetAddresses()...)
+			mm.addHints(last.response.GetLeaderAddress())
 			ask(last.response.GetLeaderAddress())
 		case <-ctx.Done():
 			received = len(asked)
@@ -100,14 +100,47 @@
 	return false
 }
 
-// nextAddresses returns the next n known addresses in turn, or fewer if fewer are known.
-func (mm *membershipManager) nextAddresses(n int) []string {
+// setMemberAddresses records the addresses of the member list that this instance holds.
+func (mm *membershipManager) setMemberAddresses(s wasabiraft.Status) {
 	var list []string
-	for range min(n, len(mm.addresses)) {
-		list = append(list, mm.addresses[mm.nextAddress%len(mm.addresses)])
-		mm.nextAddress++
+	for _, m := range s.Members {
+		if m.ID != s.ID {
+			list = append(list, m.Address)
+		}
+	}
+	mm.mu.Lock()
+	defer mm.mu.Unlock()
+	mm.addresses = mm.addresses.WithMembers(list...)
+}
+
+// addHints records addresses at which the group may be found.
+func (mm *membershipManager) addHints(list ...string) {
+	mm.mu.Lock()
+	defer mm.mu.Unlock()
+	mm.addresses = mm.addresses.WithHints(list...).Without(mm.instance.settings.linkAddress)
+}
+
+func (mm *membershipManager) knownAddresses() wasabiform.Addresses {
+	mm.mu.Lock()
+	defer mm.mu.Unlock()
+	return mm.addresses
+}
+
+// AddControlAddresses adds link addresses at which the instance may find its group, such
+// as those of settings that were read again.
+func (i *Instance) AddControlAddresses(list ...string) {
+	if i.membership != nil {
+		i.membership.addHints(list...)
+	}
+}
+
+// KnownAddresses returns the link addresses at which the instance may find its group, for
+// Parts.KnownAddresses of an instance that is opened after it.
+func (i *Instance) KnownAddresses() []string {
+	if i.membership == nil {
+		return i.parts.KnownAddresses
 	}
-	return list
+	return i.membership.knownAddresses().All()
 }
 
 // askLeader sends a request to an instance, and to the leader if the response names one.
--- a/wasabicontrol/supervisor.go
+++ b/wasabicontrol/supervisor.go
@@ -20,20 +20,28 @@
 
 // SupervisorConfig holds the dependencies of a Supervisor.
 type SupervisorConfig struct {
-	// Open returns an instance that has started. join is set if the group exists
-	// already, so that an empty data folder joins it. reopened is the number of
-	// instances that ran before in this process.
-	Open func(join bool, reopened uint64) (*Instance, error)
+	// Open returns an instance that has started.
+	Open func(Opening) (*Instance, error)
 	Log  zerolog.Logger
 }
 
+// Opening says how an instance is opened.
+type Opening struct {
+	// Join is set if the group exists already, so that an empty data folder joins it.
+	Join bool
+	// Reopened is the number of instances that ran before in this process.
+	Reopened uint64
+	// KnownAddresses are those that the instance before knew at its end.
+	KnownAddresses []string
+}
+
 // Supervisor keeps a control instance running: it opens it again when a replica
 // has ended. It is safe for concurrent use.
 type Supervisor struct {
 	config   SupervisorConfig
 	mu       sync.Mutex
 	instance *Instance
-	reopened uint64
+	opening  Opening
 	stop     chan struct{}
 	stopOnce sync.Once
 	wait     sync.WaitGroup
@@ -47,7 +55,8 @@
 // Start opens the instance. While the disk refuses it, Start returns nil and the
 // attempts go on in the background; it returns any other error.
 func (s *Supervisor) Start(join bool) error {
-	i, err := s.config.Open(join, 0)
+	s.opening.Join = join
+	i, err := s.config.Open(s.opening)
 	if err != nil && !wasabidisk.IsTemporary(err) {
 		return err
 	}
@@ -55,7 +64,7 @@
 	s.wait.Go(func() {
 		if err != nil {
 			s.config.Log.Error().Err(err).Msg("the disk refuses the start of the control instance, it is repeated")
-			i = s.reopen(join)
+			i = s.reopen()
 		}
 		for i != nil {
 			i = s.runUntilEnd(i)
@@ -77,19 +86,21 @@
 	if err := i.Close(); err != nil {
 		s.config.Log.Warn().Err(err).Msg("closing the control instance failed")
 	}
+	s.opening.KnownAddresses = i.KnownAddresses()
 	// A folder that was emptied by someone else must not form a new group.
-	return s.reopen(true)
+	s.opening.Join = true
+	return s.reopen()
 }
 
 // reopen opens the instance again until it succeeds. It returns nil if the
 // supervisor was stopped.
-func (s *Supervisor) reopen(join bool) *Instance {
-	s.reopened++
+func (s *Supervisor) reopen() *Instance {
+	s.opening.Reopened++
 	for pause := minReopenPause; s.sleep(pause); pause = nextPause(pause) {
-		i, err := s.config.Open(join, s.reopened)
+		i, err := s.config.Open(s.opening)
 		if err == nil {
 			s.set(i)
-			s.config.Log.Info().Uint64("Reopened", s.reopened).Msg("control instance opened again")
+			s.config.Log.Info().Uint64("Reopened", s.opening.Reopened).Msg("control instance opened again")
 			return i
 		}
 		s.config.Log.Error().Err(err).Msg("opening the control instance again failed")
--- a/wasabicontrol/transport_test.go
+++ b/wasabicontrol/transport_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
 	"testing"
 	"time"
 
@@ -49,3 +51,33 @@
 		t.Fatal("the transport does not close while a frame waits for the member")
 	}
 }
+
+// Guards against a control instance that reaches no further members after many were
+// replaced, because each address that it ever sent to keeps a place.
+func TestSendAfterManyReplacements(t *testing.T) {
+	ln := listen(t)
+	opened := make(chan struct{}, 16)
+	stub := wasabilink.Serve(ln, wasabilink.NewOptions("test", "stub", 1), func(ctx context.Context, _ wasabistandv1.StreamOpen_Kind, _ *wasabilink.Stream) {
+		opened <- struct{}{}
+		<-ctx.Done()
+	})
+	defer func() { assert.Check(t, stub.Close()) }()
+	gone := listen(t)
+	assert.NilError(t, gone.Close())
+	_, port, err := net.SplitHostPort(gone.Addr().String())
+	assert.NilError(t, err)
+	pool := wasabilink.NewPool(wasabilink.NewOptions("test", "control-1", 1), nil)
+	defer func() { assert.Check(t, pool.Close()) }()
+	transport := wasabicontrol.NewTransport(pool)
+	defer transport.Close()
+	message := []*wasabistandv1.GroupMessage{{}}
+	for k := range 100 {
+		transport.Send("gone", fmt.Sprintf("127.0.1.%d:%s", k+1, port), message)
+	}
+	transport.Send("stub", ln.Addr().String(), message)
+	select {
+	case <-opened:
+	case <-time.After(waitTimeout):
+		t.Fatal("no stream is opened to the present member")
+	}
+}
--- a/wasabidaemon/control.go
+++ b/wasabidaemon/control.go
@@ -42,10 +42,10 @@
 // Start implements wasabiprocess.Daemon.
 func (c *Control) Start(context.Context) error { return c.supervisor.Start(false) }
 
-// open starts an instance. join is set if the group exists already.
-func (c *Control) open(join bool, reopened uint64) (*wasabicontrol.Instance, error) {
+// open starts an instance.
+func (c *Control) open(o wasabicontrol.Opening) (*wasabicontrol.Instance, error) {
 	s := c.settings
-	if join {
+	if o.Join {
 		s.Groups = slices.Clone(s.Groups)
 		for k := range s.Groups {
 			s.Groups[k].Join = s.Groups[k].Join || slices.ContainsFunc(s.Groups[k].Members, func(m wasabisettings.Member) bool { return m.Instance == s.Instance })
@@ -55,7 +55,7 @@
 	raft := wasabiraft.NewSettings()
 	i, err := wasabicontrol.New(controlSettings(s), wasabicontrol.Parts{
 		Log: &c.log, Clock: clock, Events: wasabievent.NewRing(s.Instance, s.Limits.Events, clock),
-		Raft: raft.WithSnapshots(s.Limits.SnapshotEntries, raft.TrailingEntries), Reopened: reopened,
+		Raft: raft.WithSnapshots(s.Limits.SnapshotEntries, raft.TrailingEntries), Reopened: o.Reopened, KnownAddresses: o.KnownAddresses,
 	})
 	if err != nil {
 		return nil, err
