Hold long responses that have pipelined requests behind them

Change: a response with such requests behind it is held until it is whole, up to 8 MiB and within the memory for held bodies; one that breaks off is a 502. Behind one that has begun, none is served until it has ended. Tests: TestLongResponseBeforePipelinedRequests failed before (connection reset by peer); TestNoRequestIsServedBehindStream. A response beyond these bounds is begun all the same.

--- a/internal/edge/wasabihttp/conn.go
+++ b/internal/edge/wasabihttp/conn.go
@@ -46,6 +46,9 @@
 	parsing bool
 	// waiting reports whether a request was read that waits for earlier ones.
 	waiting bool
+	// streaming reports whether an open exchange may begin a response that is not
+	// complete. No request behind it is served until it has finished.
+	streaming bool
 	// closing reports whether the connection will be closed after a response that
 	// has started.
 	closing   bool
@@ -116,28 +119,22 @@
 // false when the connection must be closed.
 func (c *conn) dispatch(x, previous *Exchange) bool {
 	mustWait := previous != nil && (x.body != nil || !c.server.isPipelinable(x.Request))
-	c.mu.Lock()
-	c.parsing, c.waiting = false, mustWait
-	c.mu.Unlock()
-	if mustWait {
+	ctx, cancel := context.WithCancelCause(c.server.ctx)
+	x.cancel = cancel
+	for !c.open(x, previous, mustWait) {
 		if c.watch(previous, false) == callerGone {
+			cancel(nil)
 			return false
 		}
 		// When the previous exchange finished, it unblocked the reader with an
 		// expired deadline.
 		_ = c.raw.SetReadDeadline(time.Time{})
+		mustWait = false
 	}
-	ctx, cancel := context.WithCancelCause(c.server.ctx)
-	x.cancel = cancel
-	c.mu.Lock()
-	c.waiting = false
-	if c.closing {
-		c.mu.Unlock()
+	if !x.opened {
 		cancel(nil)
 		return false
 	}
-	c.openExchanges = append(c.openExchanges, x)
-	c.mu.Unlock()
 	c.server.wait.Go(func() {
 		defer cancel(nil)
 		c.server.handler(ctx, x)
@@ -146,6 +143,24 @@
 	return true
 }
 
+// open adds an exchange to the open ones, unless the connection closes after a response
+// before it. It returns false if the exchange must wait until the previous one has
+// finished.
+func (c *conn) open(x, previous *Exchange, mustWait bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.parsing = false
+	c.waiting = mustWait || c.streaming && !previous.finished
+	if c.waiting {
+		return false
+	}
+	if !c.closing {
+		c.openExchanges = append(c.openExchanges, x)
+		x.opened = true
+	}
+	return true
+}
+
 // finishOpen ends the open exchanges of a connection that reads no more requests.
 // Responses that the caller may still read are written.
 func (c *conn) finishOpen() {
@@ -350,7 +365,7 @@
 // mayReadAhead reports whether a further request may be read while x is open. The
 // mutex must be held.
 func (c *conn) mayReadAhead(x *Exchange) bool {
-	return c.server.pipelined != nil && len(c.openExchanges) < maxPipelined && !c.closing && !c.server.draining.Load() &&
+	return c.server.pipelined != nil && len(c.openExchanges) < maxPipelined && !c.closing && !c.streaming && !c.server.draining.Load() &&
 		!x.Request.Close && x.Request.ProtoAtLeast(1, 1) && (x.body == nil || x.body.isComplete())
 }
 
--- a/internal/edge/wasabihttp/exchange.go
+++ b/internal/edge/wasabihttp/exchange.go
@@ -35,6 +35,8 @@
 	cancel    context.CancelCauseFunc
 	done      chan struct{}
 	finished  bool // guarded by conn.mu
+	opened    bool // whether the handler was called
+	streaming bool
 	started   bool
 	ended     bool
 	chunked   bool
@@ -103,6 +105,19 @@
 	return x.fail(err)
 }
 
+// ReserveStream must be called before Begin if the response is not complete yet and may
+// break off, which ends the connection. No request behind this one is served from then
+// on until it has finished. It returns false if some are served already: they would lose
+// their responses. It waits until the previous request has its response.
+func (x *Exchange) ReserveStream() bool {
+	x.awaitPrevious()
+	c := x.conn
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	x.streaming, c.streaming = true, true
+	return c.openExchanges[len(c.openExchanges)-1] == x
+}
+
 // awaitPrevious waits until the previous request has its response.
 func (x *Exchange) awaitPrevious() {
 	if x.previous != nil {
@@ -191,6 +206,9 @@
 	c := x.conn
 	c.mu.Lock()
 	x.finished = true
+	if x.streaming {
+		c.streaming = false
+	}
 	c.openExchanges = slices.DeleteFunc(c.openExchanges, func(o *Exchange) bool { return o == x })
 	c.idleSince = time.Now()
 	switch {
--- a/internal/edge/wasabihttp/pipeline_test.go
+++ b/internal/edge/wasabihttp/pipeline_test.go
@@ -83,6 +83,53 @@
 	}
 }
 
+// Guards against a request that runs behind a response that may break off, and against
+// one that breaks off although requests behind it run.
+func TestNoRequestIsServedBehindStream(t *testing.T) {
+	started, release := make(chan string, 4), make(chan struct{})
+	reserved := make(chan bool, 2)
+	_, address := servePipelined(t, func(ctx context.Context, x *wasabihttp.Exchange) {
+		started <- x.Request.RequestURI
+		switch x.Request.RequestURI {
+		case "/first":
+			<-release
+			reserved <- x.ReserveStream()
+		case "/stream":
+			reserved <- x.ReserveStream()
+			assert.Check(t, x.Begin(http.StatusOK, http.Header{}, -1))
+			assert.Check(t, x.Flush())
+			<-release
+			assert.Check(t, x.End())
+			return
+		}
+		echo(ctx, x)
+	})
+	c, r := dial(t, address)
+	send(t, c, http.MethodGet, "/stream")
+	assert.Equal(t, <-started, "/stream")
+	assert.Assert(t, <-reserved)
+	send(t, c, http.MethodGet, "/2")
+	select {
+	case path := <-started:
+		t.Fatalf("%s has begun", path)
+	case <-time.After(50 * time.Millisecond):
+	}
+	release <- struct{}{}
+	readResponse(t, r)
+	a, _ := readResponse(t, r)
+	assert.Equal(t, a.Header.Get("X-Path"), "/2")
+	assert.Equal(t, <-started, "/2")
+	send(t, c, http.MethodGet, "/first", "/behind")
+	assert.Equal(t, <-started, "/first")
+	assert.Equal(t, <-started, "/behind")
+	release <- struct{}{}
+	assert.Assert(t, !<-reserved)
+	for _, path := range []string{"/first", "/behind"} {
+		a, _ := readResponse(t, r)
+		assert.Equal(t, a.Header.Get("X-Path"), path)
+	}
+}
+
 // Guards against a shutdown that closes a connection whose further requests have
 // been passed to the handler.
 func TestDrainCompletesStartedRequests(t *testing.T) {
--- a/internal/traffic/wasabigateway/edge_test.go
+++ b/internal/traffic/wasabigateway/edge_test.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"runtime"
 	"strconv"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -137,6 +139,58 @@
 	}
 }
 
+// Guards against pipelined requests that were run and get no response, because a long
+// response before them breaks off, and against a long response that does not come whole
+// to a caller that pipelines.
+func TestLongResponseBeforePipelinedRequests(t *testing.T) {
+	long := strings.Repeat("0123456789abcdef", 40<<10)
+	for _, isCut := range []bool{true, false} {
+		t.Run(fmt.Sprint("cut ", isCut), func(t *testing.T) {
+			const behind = 4
+			k := newControl(configuration(time.Minute))
+			var running sync.WaitGroup
+			running.Add(behind)
+			u := newUpstream(t, "i", func(r *http.Request, _ string) string {
+				if r.Header.Get("Id") != "0" {
+					running.Done()
+					return echoResponse(r, r.Header.Get("Id"))
+				}
+				running.Wait()
+				if text := echoResponse(r, long); isCut {
+					return text[:len(text)*3/4] + "!"
+				}
+				return echoResponse(r, long)
+			})
+			n := newNode(t, k, "node", "s", u.address)
+			n.sendHeartbeat(t, k, u, "s", 8)
+			c, err := net.Dial("tcp", n.address)
+			assert.NilError(t, err)
+			defer c.Close()
+			for id := range behind + 1 {
+				_, err = fmt.Fprintf(c, "GET /read/x HTTP/1.1\r\nHost: h\r\nId: %d\r\n\r\n", id)
+				assert.NilError(t, err)
+			}
+			r := bufio.NewReader(c)
+			for id := range behind + 1 {
+				a, err := http.ReadResponse(r, nil)
+				assert.NilError(t, err, "response %d", id)
+				b, err := io.ReadAll(a.Body)
+				assert.NilError(t, err)
+				assert.NilError(t, a.Body.Close())
+				assert.Equal(t, a.Header.Get("Id"), fmt.Sprint(id))
+				switch {
+				case id > 0:
+					assert.Equal(t, string(b), fmt.Sprint(id))
+				case isCut:
+					assert.Equal(t, a.StatusCode, 502)
+				default:
+					assert.Assert(t, string(b) == long, "%d bytes", len(b))
+				}
+			}
+		})
+	}
+}
+
 // Guards against a refusal for lack of instances while control has reported another
 // one that the node has not applied yet.
 func TestInstancesAreReadBeforeRefusal(t *testing.T) {
--- a/internal/traffic/wasabigateway/ingress.go
+++ b/internal/traffic/wasabigateway/ingress.go
@@ -74,6 +74,9 @@
 	// The connection's reader continues when the request has ended.
 	defer q.rest.Close()
 	out := g.runAttempts(ctx, q)
+	if out.response != nil && out.response.rest != nil && !q.x.ReserveStream() {
+		out = g.holdResponse(q, out)
+	}
 	defer out.response.release()
 	if out.response != nil {
 		g.writeResponse(q, out)
@@ -319,56 +322,3 @@
 		}
 	}
 }
-
-// writeResponse writes an upstream's response to the caller.
-func (g *Gateway) writeResponse(q *request, out outcome) {
-	resp := out.response
-	g.metrics.recordRequest(q, out, g.now().Sub(q.x.Received))
-	g.logAttempt("answered", &q.attempt, out)
-	if resp.rest == nil {
-		_ = q.x.Respond(resp.status, resp.headers, resp.body)
-		return
-	}
-	if q.x.Begin(resp.status, resp.headers, resp.length) != nil {
-		return
-	}
-	if _, err := q.x.Write(resp.body); err != nil {
-		return
-	}
-	// The rest may take long, and only its chunks are held meanwhile.
-	resp.body = nil
-	p := chunkPool.Get().(*[]byte)
-	defer chunkPool.Put(p)
-	for {
-		n, err := resp.rest.Read(*p)
-		if n > 0 {
-			if _, werr := q.x.Write((*p)[:n]); werr != nil {
-				return
-			}
-		}
-		if err == io.EOF {
-			_ = q.x.End()
-			return
-		}
-		if err != nil {
-			g.logAttempt("cut", &q.attempt, unknownOutcome(wasabistand.ReasonTruncated, err.Error()))
-			q.x.Abort()
-			return
-		}
-	}
-}
-
-// writeRefusal writes a response that the node generates itself.
-func (g *Gateway) writeRefusal(q *request, status int, r *wasabistand.Refusal) {
-	h := g.refusalHeader(q.id)
-	if status == http.StatusServiceUnavailable {
-		retryAfter := r.RetryAfter
-		if retryAfter <= 0 {
-			retryAfter = defaultRetryAfter
-		}
-		h["Retry-After"] = []string{strconv.FormatFloat(min(retryAfter, maxRetryAfter).Seconds(), 'f', 3, 64)}
-	}
-	g.metrics.recordRequest(q, outcome{refusal: r}, g.now().Sub(q.x.Received))
-	g.logRefusal(q, status, r)
-	_ = q.x.Respond(status, h, []byte(r.Error()+"\n"))
-}
--- a/internal/traffic/wasabigateway/settings.go
+++ b/internal/traffic/wasabigateway/settings.go
@@ -54,6 +54,7 @@
 	drainGrace          time.Duration
 	maxBufferedBody     int64
 	maxBufferedResponse int
+	maxHeldResponse     int64
 	maxBufferedBytes    int64
 	responseGrace       time.Duration
 	queueLimit          int
@@ -85,6 +86,7 @@
 		// Bodies up to this size are buffered, so that retries can send them again.
 		maxBufferedBody:     512 << 10,
 		maxBufferedResponse: 256 << 10,
+		maxHeldResponse:     8 << 20,
 		maxBufferedBytes:    48 << 20,
 		// Allows a response that was made in time to travel back between regions.
 		responseGrace: 100 * time.Millisecond,
