Notice callers that leave behind an unread part of their upload

Uploads of callers that had left were passed on and ran. Change: while a body is not read to its end, the connection asks the kernel every 100 ms whether its peer has closed or reset it, which shows behind unread bytes, and cancels the exchange then.

--- a/internal/edge/wasabihttp/conn.go
+++ b/internal/edge/wasabihttp/conn.go
@@ -92,11 +92,9 @@
 			return
 		}
 		last = x
-		if x.body != nil {
-			select {
-			case <-x.body.done:
-			case <-x.done:
-			}
+		if x.body != nil && !c.awaitBody(x) {
+			c.finishOpen()
+			return
 		}
 		switch c.watch(x, true) {
 		case callerGone:
@@ -161,6 +159,30 @@
 	return true
 }
 
+// departureInterval is how often a connection is asked for its caller's departure while
+// a body is not read to its end.
+const departureInterval = 100 * time.Millisecond
+
+// awaitBody waits until the body of a request is read to its end, or its exchange has
+// finished. It returns false if the caller has disconnected before. The rest of a body may
+// stay unread while the request waits, and only the kernel knows of the disconnect behind it.
+func (c *conn) awaitBody(x *Exchange) bool {
+	t := time.NewTicker(departureInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-x.body.done:
+			return true
+		case <-x.done:
+			return true
+		case <-t.C:
+			if hasDeparted(c.raw) {
+				return false
+			}
+		}
+	}
+}
+
 // finishOpen ends the open exchanges of a connection that reads no more requests.
 // Responses that the caller may still read are written.
 func (c *conn) finishOpen() {
--- a/internal/edge/wasabihttp/keepalive.go
+++ b/internal/edge/wasabihttp/keepalive.go
@@ -7,6 +7,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // isIdle reports whether a connection is open and has nothing to read. An idle one
@@ -32,6 +34,28 @@
 	return open
 }
 
+// hasDeparted reports whether the peer has ended its stream or reset the connection, also
+// behind bytes that are not read yet.
+func hasDeparted(c net.Conn) bool {
+	t, ok := c.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return false
+	}
+	departed := false
+	if err := raw.Control(func(fd uintptr) {
+		list := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(list, 0)
+		departed = err == nil && n > 0 && list[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	}); err != nil {
+		return false
+	}
+	return departed
+}
+
 // keepAliveMargin is subtracted from the keep-alive timeout of an upstream, so that
 // a request does not cross its close of the connection.
 const keepAliveMargin = time.Second
--- a/internal/edge/wasabihttp/server_test.go
+++ b/internal/edge/wasabihttp/server_test.go
@@ -118,6 +118,35 @@
 	}
 }
 
+// Guards against a request that goes on waiting after its caller has disconnected behind
+// a part of its body that is not read yet, and against one that is cancelled although its
+// caller is still there.
+func TestDisconnectBehindUnreadBody(t *testing.T) {
+	started, cancelled := make(chan struct{}, 2), make(chan error, 2)
+	_, address := serve(t, limits, func(ctx context.Context, x *wasabihttp.Exchange) {
+		_, err := io.ReadFull(x.Body(), make([]byte, 1000))
+		assert.Check(t, err)
+		started <- struct{}{}
+		<-ctx.Done()
+		cancelled <- context.Cause(ctx)
+		x.Abort()
+	})
+	leaves, _ := dial(t, address)
+	stays, _ := dial(t, address)
+	for _, c := range []net.Conn{leaves, stays} {
+		_, err := io.WriteString(c, "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 30000\r\n\r\n"+strings.Repeat("b", 30000))
+		assert.NilError(t, err)
+		<-started
+	}
+	assert.NilError(t, leaves.Close())
+	assert.ErrorIs(t, <-cancelled, wasabihttp.ErrCallerGone)
+	select {
+	case err := <-cancelled:
+		t.Fatalf("cancelled although its caller is there: %v", err)
+	case <-time.After(300 * time.Millisecond):
+	}
+}
+
 // Guards against requests beyond the limits that are served, or that get a status
 // which does not promise that they were not run.
 func TestLimits(t *testing.T) {
