wasabihttp: the test of requests behind a stream compares both that started

Cause: staticcheck takes two receives from one channel in a comparison for the same value. Change: the test receives both and compares their sorted list.

--- a/internal/edge/wasabihttp/pipeline_test.go
+++ b/internal/edge/wasabihttp/pipeline_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"runtime"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -121,7 +122,9 @@
 	assert.Equal(t, <-started, "/2")
 	send(t, c, http.MethodGet, "/first", "/behind")
 	// Their handlers may start in any order.
-	assert.Assert(t, <-started != <-started)
+	concurrent := []string{<-started, <-started}
+	slices.Sort(concurrent)
+	assert.DeepEqual(t, concurrent, []string{"/behind", "/first"})
 	release <- struct{}{}
 	assert.Assert(t, !<-reserved)
 	for _, path := range []string{"/first", "/behind"} {
