--- a/wasabicontrol/supervisor.go
+++ b/wasabicontrol/supervisor.go
@@ -38,10 +38,12 @@
 // Supervisor keeps a control instance running: it opens it again when a replica
 // has ended. It is safe for concurrent use.
 type Supervisor struct {
-	config   SupervisorConfig
-	mu       sync.Mutex
-	instance *Instance
+	config SupervisorConfig
+	// opening is that of the next instance. Only Start uses it, and then the goroutine
+	// that Start begins.
 	opening  Opening
+	mu       sync.Mutex // guards instance
+	instance *Instance
 	stop     chan struct{}
 	stopOnce sync.Once
 	wait     sync.WaitGroup
